--- /dev/null
+++ b/src/core/samples.hpp
@@ -0,0 +1,38 @@
+// The last few samples of a figure, oldest first.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <vector>
+
+namespace knotvane {
+
+template <class T, std::size_t Most> class Samples {
+  public:
+    void add(T v) {
+        kept_.push_back(v);
+        if (kept_.size() > Most)
+            kept_.pop_front();
+    }
+    void clear() { kept_.clear(); }
+    bool empty() const { return kept_.empty(); }
+    std::size_t size() const { return kept_.size(); }
+    auto begin() const { return kept_.begin(); }
+    auto end() const { return kept_.end(); }
+    T most() const { return kept_.empty() ? T{} : *std::max_element(kept_.begin(), kept_.end()); }
+    // The value that the given part of the samples lies under.
+    T quantile(double part) const {
+        if (kept_.empty())
+            return T{};
+        std::vector<T> sorted(kept_.begin(), kept_.end());
+        auto at = static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1));
+        std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(at), sorted.end());
+        return sorted[at];
+    }
+
+  private:
+    std::deque<T> kept_;
+};
+
+} // namespace knotvane
--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,762 @@
+// The decisions of a knotvane scheduler, all of them. Its interface is policy.hpp: the adapter, and later the real
+// program, calls the set-up functions once, then one function for each event, then settle at the end of each moment.
+//
+// A task passes: intake (answers, client timeouts) -> turn by key -> limit -> placement -> the node's volumes (tags,
+// budgets, rate, window) -> gates (drain, cold) -> shots. Outcomes go back the other way.
+//
+// The design is BFQ+'s (docs/design.md). Beside it stand these mechanisms, six at most:
+//   1. silence: a node with shots out that is not heard from gets single trial shots, in turns, until it answers
+//   2. giving up: a waiting task that can no longer be delivered by its due time is ended at once
+//   3. two picks: a new object goes to the better of two nodes drawn at random
+//   4. cold part: a node that is new, or answers after silence, gets this scheduler's even part of what it bears
+//   5. further shots: only where no effect can double, within the budget, with more time left than one takes
+#include "policy.hpp"
+
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+#include "core/samples.hpp"
+#include "core/task.hpp"
+
+namespace knotvane {
+
+constexpr Time never = std::numeric_limits<Time>::max();
+
+// ---- Turn by key: tasks with one key run one at a time, in the order in which they were taken.
+class Turns {
+  public:
+    void join(KeyId key, TaskId task) { lines_[key].tasks.push_back(task); }
+    bool may_go(KeyId key, TaskId task, Time now) const {
+        auto it = lines_.find(key);
+        return it == lines_.end() || (it->second.tasks.front() == task && now >= it->second.rest_until);
+    }
+    // After an outcome that leaves a shot maybe running, the key rests. Guards against a successor overtaking it.
+    void rest(KeyId key, Time until) {
+        auto &line = lines_[key];
+        line.rest_until = std::max(line.rest_until, until);
+    }
+    void leave(KeyId key, TaskId task) { std::erase(lines_[key].tasks, task); }
+    // Forgets keys with nobody waiting and no rest left.
+    void prune(Time now) {
+        std::erase_if(lines_, [&](auto &l) { return l.second.tasks.empty() && now >= l.second.rest_until; });
+    }
+
+  private:
+    struct Line {
+        std::deque<TaskId> tasks;
+        Time rest_until = 0;
+    };
+    std::map<KeyId, Line> lines_;
+};
+
+// ---- Limit: this scheduler's part of one volume's store. What has passed but was not yet sent stays set aside, so
+// that the store never refills past what all schedulers' parts add up to.
+class LimitPart {
+  public:
+    // Starts empty at the scheduler's own start: a life before this one may have just drawn a full burst.
+    LimitPart(double rate, double burst, Time since) : rate_(rate), burst_(burst), at_(since) {}
+    // Takes units if the part holds them. The most hosts ever told counts: another host may still go by that number.
+    bool take(Time now, double units, double hosts) {
+        hosts_ = std::max(hosts_, hosts);
+        level_ = std::min(level_ + rate_ / hosts_ * seconds(now - at_), burst_ / hosts_ - set_aside_);
+        at_ = now;
+        if (units > level_)
+            return false;
+        level_ -= units;
+        set_aside_ += units;
+        return true;
+    }
+    void sent(double units) { set_aside_ -= units; }
+    void give_back(double units) { set_aside_ -= units, level_ += units; }
+    bool never_fits(double units) const { return units > burst_ / hosts_; }
+
+  private:
+    double rate_, burst_, hosts_ = 1, level_ = 0, set_aside_ = 0;
+    Time at_;
+};
+
+// ---- Further shots: how many may go beyond each task's first, in any window of the span.
+class FurtherShots {
+  public:
+    void set(double each, double free, Time span) { each_ = each, free_ = free, span_ = span; }
+    void taken(Time now) { note(taken_, now); }
+    void shot(Time now) { note(shots_, now); }
+    bool allowed(Time now) {
+        if (span_ == 0)
+            return true;
+        // The edges are counted against us: a shot just a span ago counts, a task just a span ago does not.
+        std::erase_if(shots_, [&](Time t) { return t < now - span_; });
+        std::erase_if(taken_, [&](Time t) { return t <= now - span_; });
+        return static_cast<double>(shots_.size() + 1) <= free_ + each_ * static_cast<double>(taken_.size());
+    }
+
+  private:
+    void note(std::deque<Time> &at, Time now) {
+        if (span_ == 0)
+            return;
+        at.push_back(now);
+        while (at.front() < now - span_)
+            at.pop_front();
+    }
+    double each_ = 0, free_ = 0;
+    Time span_ = 0;
+    std::deque<Time> taken_, shots_;
+};
+
+// ---- Cold gate: what this scheduler sent one node lately. Guards against all schedulers pushing over a cold node,
+// each taking the whole of what it bears.
+class ColdGate {
+  public:
+    bool allows(Time now, double units, double part, Time span) {
+        while (!sent_.empty() && sent_.front().first < now - span)
+            sent_.pop_front();
+        double sum = units;
+        for (auto &[at, u] : sent_)
+            sum += u;
+        return sum <= part;
+    }
+    void sent(Time now, double units, Time span) {
+        sent_.emplace_back(now, units);
+        while (sent_.front().first < now - span)
+            sent_.pop_front();
+    }
+
+  private:
+    std::deque<std::pair<Time, double>> sent_;
+};
+
+// ---- The window: how many shots this scheduler has out at one node.
+class Window {
+  public:
+    static constexpr double floor = 4, ceiling = 32; // the design's
+    static constexpr std::size_t lately = 8; // answers that make one reading: fewer swing with the tasks' own costs
+    bool open(std::size_t out) const { return static_cast<double>(out) < std::floor(size_); }
+    double size() const { return size_; }
+    // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best.
+    void answered(Time now, double units, Time took) {
+        took_.add({units, seconds(took)});
+        double u = 0, t = 0;
+        for (auto &[au, at] : took_)
+            u += au, t += at;
+        double reading = t / u;
+        if (took_.size() < lately)
+            return;
+        best_.add(reading);
+        if (reading < 2 * best_.quantile(0))
+            size_ = std::min(ceiling, size_ + 1 / size_);
+        else
+            halve(now, took);
+    }
+    void halve(Time now, Time round_trip) {
+        if (now < halved_ + round_trip)
+            return;
+        halved_ = now;
+        size_ = std::max(floor, size_ / 2);
+    }
+
+  private:
+    double size_ = floor;
+    Time halved_ = 0;
+    Samples<std::pair<double, double>, lately> took_;
+    Samples<double, 256> best_; // recent: a few seconds of answers on a busy node
+};
+
+// ---- A node's volumes: B-WF2Q+ over budgets.
+enum class Stop { emptied, exhausted, timed_out };
+
+class Volumes {
+  public:
+    static constexpr Time slice = 125 * ms;           // the paper's
+    static constexpr Time shortest_measure = 20 * ms; // the paper's: shorter turns say nothing of the rate
+    static constexpr double write_charge = 10;        // the paper's
+    using Rank = std::pair<Time, TaskId>;             // earliest due time first, then as taken
+    struct Line {
+        double weight = 1, start = 0, finish = 0, budget = 0;
+        std::size_t out = 0;
+        std::set<Rank> tasks;
+    };
+
+    explicit Volumes(double largest) : largest_(largest) {}
+
+    void add(VolumeId v, double weight, Rank task) {
+        auto [it, is_new] = lines_.try_emplace(v);
+        Line &line = it->second;
+        if (is_new)
+            line.budget = std::max(largest_, max_budget() / 2);
+        line.weight = weight;
+        if (line.tasks.empty() && serving_ != v) {
+            line.start = std::max(virtual_time_, line.finish);
+            line.finish = line.start + line.budget / line.weight;
+        }
+        line.tasks.insert(task);
+    }
+    void remove(VolumeId v, Rank task) { lines_[v].tasks.erase(task); }
+    // The volume whose task goes next, none if nothing waits. Ends turns that are over.
+    std::optional<VolumeId> choose(Time now) {
+        if (serving_ && lines_[*serving_].tasks.empty())
+            stop(now, Stop::emptied);
+        if (serving_ && now - began_ >= slice)
+            stop(now, Stop::timed_out);
+        if (!serving_)
+            select(now);
+        return serving_;
+    }
+    static double charge_of(double units, bool writes) { return writes ? write_charge * units : units; }
+    // Whether the turn's budget holds this charge; a turn's first task always goes, whatever it is charged.
+    bool fits(double charge) const {
+        return charged_ == 0 || charged_ + charge <= lines_.at(*serving_).budget;
+    }
+    void exhaust(Time now) { stop(now, Stop::exhausted); }
+    void sent(Rank task, double units, double charge) {
+        double weights = 0;
+        for (auto &[v, line] : lines_)
+            if (!line.tasks.empty())
+                weights += line.weight;
+        virtual_time_ += charge / weights;
+        Line &line = lines_[*serving_];
+        line.tasks.erase(task);
+        ++line.out;
+        charged_ += charge;
+        units_ += units;
+    }
+    void returned(VolumeId v) { --lines_[v].out; }
+    // The smoothed rate, units a second: the paper's filter over the kept turns.
+    double rate() const {
+        double r = 0;
+        for (auto &[measured, exhausted] : turns_)
+            if (r == 0)
+                r = measured;
+            else if (r < measured || !exhausted)
+                r = r * 7 / 8 + measured / 8;
+        return r;
+    }
+    double max_budget() const { return std::max(largest_, seconds(slice) * rate()); }
+    const std::map<VolumeId, Line> &lines() const { return lines_; }
+    double virtual_time() const { return virtual_time_; }
+
+  private:
+    void select(Time now) {
+        Line *least = nullptr;
+        double least_start = std::numeric_limits<double>::infinity();
+        for (auto &[v, line] : lines_)
+            if (!line.tasks.empty())
+                least_start = std::min(least_start, line.start);
+        if (least_start == std::numeric_limits<double>::infinity())
+            return;
+        virtual_time_ = std::max(virtual_time_, least_start);
+        for (auto &[v, line] : lines_)
+            if (!line.tasks.empty() && line.start <= virtual_time_ && (!least || line.finish < least->finish))
+                least = &line, serving_ = v;
+        began_ = now;
+        charged_ = units_ = 0;
+    }
+    void stop(Time now, Stop why) {
+        Line &line = lines_[*serving_];
+        if (now - began_ >= shortest_measure)
+            turns_.add({units_ / seconds(now - began_), why == Stop::exhausted});
+        double most = max_budget();
+        // After a timeout the finish tag stands at the whole budget; else it tells what was really charged.
+        double charged = why == Stop::timed_out ? std::max(charged_, line.budget) : charged_;
+        line.finish = line.start + charged / line.weight;
+        if (why == Stop::timed_out)
+            line.budget *= 2;
+        else if (why == Stop::exhausted)
+            line.budget *= 4;
+        else if (line.out > 0)
+            line.budget *= 2;
+        else
+            line.budget -= most / 8;
+        line.budget = std::clamp(line.budget, largest_, most);
+        if (!line.tasks.empty()) {
+            line.start = std::max(virtual_time_, line.finish);
+            line.finish = line.start + line.budget / line.weight;
+        }
+        serving_.reset();
+    }
+
+    double largest_, virtual_time_ = 0, charged_ = 0, units_ = 0;
+    std::map<VolumeId, Line> lines_;
+    std::optional<VolumeId> serving_;
+    Time began_ = 0;
+    Samples<std::pair<double, bool>, 32> turns_; // 32 turns: past that the filter's weight is under a fiftieth
+};
+
+// ---- A node, as this scheduler sees it.
+struct Node {
+    Node(NodeId i, double largest) : id(i), volumes(largest) {}
+    NodeId id;
+    ShardId shard;
+    ZoneId zone;
+    NodeState state = NodeState::gone;
+    Time started = 0;
+    Time cold_until = 0;
+    bool listed = false;
+    Window window;
+    Volumes volumes;
+    ColdGate cold;
+    std::set<std::pair<Time, std::pair<TaskId, ShotId>>> out; // by the time sent
+    double units_waiting = 0, units_out = 0;
+    Time heard = 0, last_trial = 0;
+    bool silent = false;
+    Samples<Time, 32> took;          // of the last answers
+    Samples<double, 32> unit_time;   // the same by units, in seconds
+    // What a task is expected to take there once sent: the quick quarter, since the slow rest holds waiting.
+    Time expected(double units) const { return static_cast<Time>(unit_time.quantile(0.25) * units * 1e9); }
+    // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of disks.
+    Time patience() const { return std::max(500 * ms, 3 * took.most()); }
+};
+
+struct Workload {
+    Time due = 0, client_timeout = 0, repeat_window = 0, key_rest = 0;
+    Repeat repeat = Repeat::reissuable;
+    Group group = Group::all;
+    bool in_turn = false;
+};
+
+struct Plan {
+    double weight = 1, limit_rate = 0, limit_burst = 0;
+};
+
+// Whether telling the client that trying again is harmless is true. Guards against effects that happen twice.
+bool may_deny(const Task &task, Repeat repeat, Group group) {
+    return repeat == Repeat::reissuable || !task.may_have_run() ||
+           (repeat == Repeat::numbered && group == Group::all);
+}
+
+// Whether a shot, after those made, can do no harm at that node. Guards against effects that happen twice.
+bool may_shoot(const Task &task, const Workload &w, const Node &node, std::uint32_t most, bool parallel, Time now,
+               Time margin) {
+    if (task.shots.size() >= most || (!parallel && task.any_out()))
+        return false;
+    if (w.repeat == Repeat::reissuable)
+        return true;
+    for (const auto &s : task.shots) {
+        if (s.proved_not_run)
+            continue;
+        if (w.repeat == Repeat::at_most_once || now + margin >= s.sent + w.repeat_window)
+            return false;
+        if ((w.group == Group::shard && s.shard != node.shard) || (w.group == Group::zone && s.zone != node.zone))
+            return false;
+    }
+    return true;
+}
+
+class Knotvane final : public Scheduler {
+  public:
+    Knotvane(Actions &actions, std::uint64_t seed) : do_(actions), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))) {}
+
+    void set_place(PeerId self, std::uint32_t schedulers, ZoneId) override { self_ = self, schedulers_ = schedulers; }
+    void set_clock(Time step, Time) override { step_ = std::max(step, ms); }
+    void add_workload(WorkloadId id, Time due, Time client_timeout, double, double) override {
+        workloads_[id].due = due;
+        workloads_[id].client_timeout = client_timeout;
+    }
+    void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) override {
+        auto &w = workloads_[id];
+        w.repeat = repeat, w.group = group, w.repeat_window = window;
+    }
+    void set_turns(WorkloadId id, Time key_rest) override {
+        workloads_[id].in_turn = true, workloads_[id].key_rest = key_rest;
+    }
+    void add_plan(PlanId id, double weight, double, double, double) override { plans_[id].weight = std::max(weight, 1e-6); }
+    void set_limit(PlanId id, double rate, double burst) override {
+        plans_[id].limit_rate = rate, plans_[id].limit_burst = burst;
+    }
+    void set_units(double, double largest, double, double) override { largest_ = std::max(1.0, largest); }
+    void set_shots(std::uint32_t most, bool parallel, bool may_call_off) override {
+        most_shots_ = most, parallel_ = parallel, may_call_off_ = may_call_off;
+    }
+    void set_further_shots(double each, double free, Time span) override { further_.set(each, free, span); }
+    void set_denials(Time longest_wait) override { longest_wait_ = longest_wait; }
+    void set_list(bool on_request, Time ask_within, Time) override {
+        on_request_ = on_request, ask_within_ = ask_within;
+    }
+    void set_cold(double units, Time span, Time warm_after) override {
+        cold_units_ = units, cold_span_ = span, warm_after_ = warm_after;
+    }
+    void set_probes(bool) override {}
+    void set_peers(bool) override {}
+    void add_report_column(Column) override {}
+    void set_usage(Time, bool) override {}
+    void ready(Time now) override {
+        born_ = now;
+        if (on_request_)
+            follow(now);
+    }
+
+    void list_begins(Time now, ListKind kind) override {
+        now_ = now;
+        heard_list_ = now;
+        ask_at_ = never;
+        whole_ = kind == ListKind::whole;
+        for (auto &[id, node] : nodes_)
+            node.listed = false;
+    }
+    void node_listed(NodeId id, ShardId shard, ZoneId zone, NodeState state, Time started) override {
+        Node &node = nodes_.try_emplace(id, id, largest_).first->second;
+        node.listed = true;
+        node.shard = shard, node.zone = zone, node.state = state;
+        if (started > node.started) { // a restart: what was silent before says nothing of it now
+            node.started = started;
+            node.silent = false;
+            node.heard = now_;
+            node.cold_until = std::max(node.cold_until, started + warm_after_);
+        }
+    }
+    void list_ends() override {
+        for (auto &[id, node] : nodes_) {
+            if (whole_ && !node.listed) // a whole list that leaves a node out has removed it
+                node.state = NodeState::gone;
+            if (node.state != NodeState::ready)
+                empty_queue(node);
+        }
+    }
+    void list_failed(Time now) override {
+        // A second apart and not in step with others, so that failing calls do not keep the list busy.
+        ask_at_ = now + 500 * ms + static_cast<Time>(chance_() % 1000) * ms;
+    }
+
+    void task_taken(Time now, TaskId id, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard, KeyId key,
+                    double units, double hosts, bool writes, Time client_timeout) override {
+        now_ = now;
+        further_.taken(now);
+        Task &t = tasks_[id];
+        t.id = id, t.workload = workload, t.volume = volume, t.plan = plan, t.shard = shard, t.key = key;
+        t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now;
+        // Two steps early, so that the batch in which the answer leaves still comes before the client is gone.
+        t.last_call = client_timeout - 2 * step_;
+        t.due = std::min(now + workloads_[workload].due, t.last_call);
+        calls_.insert({t.last_call, id});
+        t.stage = Stage::turn;
+        if (in_turn(t))
+            turns_.join(t.key, id);
+        moving_.insert(id);
+    }
+    void shot_ended(Time now, TaskId id, ShotId shot, NodeId at, Outcome how, Time took, bool ended, double, double,
+                    std::span<const float>) override {
+        now_ = now;
+        auto it = tasks_.find(id);
+        if (it == tasks_.end() || shot.value >= it->second.shots.size() || !it->second.shots[shot.value].out)
+            return;
+        Task &t = it->second;
+        Shot &s = t.shots[shot.value];
+        s.out = false;
+        s.proved_not_run = how == Outcome::full || how == Outcome::unreachable || how == Outcome::unsent;
+        hear(nodes_.at(at), t, shot, how, took);
+        if (in_turn(t) && (how == Outcome::timed_out || how == Outcome::reset || how == Outcome::called_off))
+            turns_.rest(t.key, now + workloads_[t.workload].key_rest);
+        if (ended && !t.ended)
+            end(t);
+        else if (!t.ended && !t.any_out())
+            again(t);
+        forget_if_done(it);
+    }
+    void task_withdrawn(Time now, TaskId id) override {
+        now_ = now;
+        auto it = tasks_.find(id);
+        if (it == tasks_.end())
+            return;
+        if (!it->second.ended)
+            end(it->second);
+        forget_if_done(it);
+    }
+    void probe_ended(Time, NodeId, bool, Time, std::span<const float>) override {}
+    void peer_told(Time, PeerId, std::string_view) override {}
+    void alarm(Time now, AlarmId) override {
+        if (now >= next_alarm_)
+            next_alarm_ = never;
+    }
+
+    void settle(Time now) override {
+        now_ = now;
+        if (on_request_ && (now >= ask_at_ || now - heard_list_ > ask_within_))
+            follow(now);
+        while (!calls_.empty() && calls_.begin()->first <= now) {
+            auto it = tasks_.find(calls_.begin()->second);
+            give_up(it->second, 0);
+            forget_if_done(it);
+        }
+        advance();
+        for (auto &[id, node] : nodes_)
+            serve(node);
+        turns_.prune(now);
+        wake();
+    }
+
+  private:
+    // ---- Intake: one final answer for each task, never late.
+    void give_up(Task &t, Time come_back_after) {
+        const Workload &w = workloads_[t.workload];
+        if (may_deny(t, w.repeat, w.group))
+            do_.deny(t.id, std::min(come_back_after, longest_wait_));
+        else
+            do_.error(t.id);
+        end(t);
+    }
+    void end(Task &t) {
+        leave_stage(t);
+        if (t.passed_limit && t.shots.empty())
+            limits_.at(t.volume).give_back(t.units);
+        calls_.erase({t.last_call, t.id});
+        t.ended = true;
+        if (may_call_off_)
+            for (std::uint32_t i = 0; i < t.shots.size(); ++i)
+                if (t.shots[i].out)
+                    do_.call_off(t.id, ShotId{i});
+    }
+    void leave_stage(Task &t) {
+        moving_.erase(t.id);
+        if (t.stage == Stage::queue) {
+            Node &node = nodes_.at(t.node);
+            node.volumes.remove(t.volume, {t.due, t.id});
+            node.units_waiting -= t.units;
+        }
+    }
+    // A task is done with when it has its answer and no shot out; only then does its key's next one go.
+    void forget_if_done(std::map<TaskId, Task>::iterator it) {
+        Task &t = it->second;
+        if (!t.ended || t.any_out())
+            return;
+        if (in_turn(t))
+            turns_.leave(t.key, t.id);
+        tasks_.erase(it);
+    }
+    bool in_turn(const Task &t) { return workloads_[t.workload].in_turn && t.key != no_key; }
+
+    // ---- Turn, limit and placement: each passes the task on or keeps it.
+    void advance() {
+        std::vector<TaskId> all(moving_.begin(), moving_.end());
+        for (auto id : all) {
+            auto it = tasks_.find(id);
+            Task &t = it->second;
+            if (t.stage == Stage::turn && (!in_turn(t) || turns_.may_go(t.key, t.id, now_)))
+                t.stage = Stage::limit;
+            if (t.stage == Stage::limit && pass_limit(t))
+                t.stage = Stage::placement;
+            Node *node = t.stage == Stage::placement ? place(t) : nullptr;
+            if (node)
+                enter(*node, t);
+            else if (now_ >= t.due || refuse_)
+                give_up(t, longest_wait_);
+            refuse_ = false;
+            forget_if_done(it);
+        }
+    }
+    bool pass_limit(Task &t) {
+        const Plan &plan = plans_[t.plan];
+        if (plan.limit_rate <= 0 || t.passed_limit)
+            return true;
+        auto &part = limits_.try_emplace(t.volume, plan.limit_rate, plan.limit_burst, born_).first->second;
+        t.passed_limit = part.take(now_, t.units, t.hosts);
+        refuse_ = !t.passed_limit && part.never_fits(t.units);
+        return t.passed_limit;
+    }
+    // The node that holds the task's shard; for a new object the better of two drawn by what we have there.
+    Node *place(const Task &t) {
+        std::vector<Node *> fit;
+        for (auto &[id, node] : nodes_)
+            if (node.state == NodeState::ready && (t.shard == no_shard || node.shard == t.shard))
+                fit.push_back(&node);
+        if (fit.empty())
+            return nullptr;
+        if (t.shard != no_shard) // a node that replaces another holds its shard too: the youngest counts
+            return *std::max_element(fit.begin(), fit.end(), [](auto *a, auto *b) { return a->started < b->started; });
+        Node *a = fit[chance_() % fit.size()], *b = fit[chance_() % fit.size()];
+        return cost(*b) < cost(*a) ? b : a;
+    }
+    // Our own counts: what we have waiting and out there, in units; a silent or cold node comes last.
+    double cost(const Node &n) const {
+        return n.units_waiting + n.units_out + (n.silent ? 1e9 : 0) + (is_cold(n) ? 1e6 : 0);
+    }
+    void enter(Node &node, Task &t) {
+        moving_.erase(t.id);
+        t.stage = Stage::queue;
+        t.node = node.id;
+        node.units_waiting += t.units;
+        node.volumes.add(t.volume, plans_[t.plan].weight, {t.due, t.id});
+    }
+    // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or answered.
+    void empty_queue(Node &node) {
+        std::vector<TaskId> waiting;
+        for (auto &[v, line] : node.volumes.lines())
+            for (auto &[due, id] : line.tasks)
+                waiting.push_back(id);
+        for (auto id : waiting) {
+            Task &t = tasks_.at(id);
+            leave_stage(t);
+            t.stage = Stage::placement;
+            moving_.insert(id);
+        }
+    }
+
+    // ---- The node's volumes, and the gates.
+    void serve(Node &node) {
+        if (node.state != NodeState::ready)
+            return;
+        watch(node);
+        drop_late(node);
+        while (auto v = node.volumes.choose(now_)) {
+            Task &t = tasks_.at(node.volumes.lines().at(*v).tasks.begin()->second);
+            if (!t.shots.empty() && !may_go_again(t, node)) {
+                auto it = tasks_.find(t.id);
+                give_up(t, longest_wait_);
+                forget_if_done(it);
+                continue;
+            }
+            double charge = Volumes::charge_of(t.units, t.writes);
+            if (!node.volumes.fits(charge)) {
+                node.volumes.exhaust(now_);
+                continue;
+            }
+            if (!node.window.open(node.out.size()) || !gates_open(node, t))
+                return;
+            node.volumes.sent({t.due, t.id}, t.units, charge);
+            shoot(node, t);
+        }
+    }
+    // Ends waiting tasks that can't be delivered by their due time any more: what they would take goes to others.
+    void drop_late(Node &node) {
+        std::vector<TaskId> late;
+        for (auto &[v, line] : node.volumes.lines())
+            for (auto &[due, id] : line.tasks)
+                if (now_ + node.expected(tasks_.at(id).units) > due)
+                    late.push_back(id);
+        for (auto id : late) {
+            auto it = tasks_.find(id);
+            give_up(it->second, node.silent ? longest_wait_ : node.patience());
+            forget_if_done(it);
+        }
+    }
+    bool is_cold(const Node &node) const { return now_ < node.cold_until; }
+    bool gates_open(Node &node, const Task &t) {
+        if (node.silent) {
+            // Trial shots, one at a time, the schedulers taking turns by their numbers.
+            constexpr Time turn = 250 * ms; // long enough for a trial to be answered before the next one's turn
+            bool mine = static_cast<std::uint64_t>(now_ / turn) % schedulers_ == self_.value;
+            if (!mine || now_ - node.last_trial < turn)
+                return false;
+        }
+        if (!node.silent && !is_cold(node))
+            return true;
+        // Just started, we have forgotten what we sent in our earlier life.
+        if (now_ < born_ + cold_span_)
+            return false;
+        // A step is added to the span: what leaves in one batch may arrive in the next.
+        return cold_units_ <= 0 || node.cold.allows(now_, t.units, cold_units_ / schedulers_, cold_span_ + step_);
+    }
+
+    // ---- Shots.
+    void shoot(Node &node, Task &t) {
+        if (!t.shots.empty())
+            further_.shot(now_);
+        else if (t.passed_limit)
+            limits_.at(t.volume).sent(t.units);
+        if (node.silent)
+            node.last_trial = now_;
+        node.cold.sent(now_, t.units, cold_span_ + step_);
+        node.units_waiting -= t.units;
+        node.units_out += t.units;
+        if (node.out.empty())
+            node.heard = now_;
+        node.out.insert({now_, {t.id, ShotId{static_cast<std::uint32_t>(t.shots.size())}}});
+        t.shots.push_back({node.id, node.shard, node.zone, now_, true, false});
+        t.stage = Stage::shooting;
+        do_.shoot(t.id, node.id, 0);
+    }
+    void hear(Node &node, Task &t, ShotId shot, Outcome how, Time took) {
+        node.out.erase({t.shots[shot.value].sent, {t.id, shot}});
+        node.units_out -= t.units;
+        node.volumes.returned(t.volume);
+        if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
+            node.heard = now_;
+            if (node.silent) { // it may have restarted before the list says so
+                node.silent = false;
+                node.cold_until = std::max(node.cold_until, now_ + warm_after_);
+            }
+        }
+        if (how == Outcome::answered) {
+            node.took.add(took);
+            node.unit_time.add(seconds(took) / std::max(t.units, 1.0));
+            node.window.answered(now_, std::max(t.units, 1.0), took);
+        } else if (how == Outcome::full) {
+            node.window.halve(now_, node.took.quantile(0.5));
+        } else if (how == Outcome::unreachable || how == Outcome::reset) {
+            node.silent = true;
+        }
+    }
+    // With shots out and nothing heard for longer than it ever took, a node is silent: whatever the cause, it must
+    // not fill with doomed shots. Harm: a long pause past the patience costs the tasks that wait through it.
+    void watch(Node &node) {
+        if (!node.silent && !node.out.empty() && now_ - node.heard > node.patience())
+            node.silent = true;
+    }
+    // A shot came back without an answer: another one, if it can do no harm and can still be in time; else the end.
+    void again(Task &t) {
+        leave_stage(t);
+        t.stage = Stage::placement;
+        Node *node = place(t);
+        if (node && may_go_again(t, *node))
+            enter(*node, t);
+        else
+            give_up(t, longest_wait_);
+    }
+    bool may_go_again(const Task &t, const Node &node) {
+        return may_shoot(t, workloads_[t.workload], node, most_shots_, parallel_, now_, 2 * step_) &&
+               further_.allowed(now_) && now_ + node.expected(t.units) < t.due;
+    }
+
+    // ---- The list and the alarm.
+    void follow(Time now) {
+        heard_list_ = now;
+        ask_at_ = never;
+        do_.follow_list();
+    }
+    void wake() {
+        // Waiting tasks are looked at each few milliseconds: the finest any gate here tells apart.
+        constexpr Time look = 5 * ms, watch_out = 50 * ms;
+        Time at = std::min(ask_at_, on_request_ ? heard_list_ + ask_within_ + ms : never);
+        if (!calls_.empty())
+            at = std::min(at, calls_.begin()->first);
+        if (!moving_.empty())
+            at = std::min(at, now_ + look);
+        for (auto &[id, node] : nodes_) {
+            if (node.units_waiting > 1e-9)
+                at = std::min(at, now_ + look);
+            if (!node.out.empty())
+                at = std::min(at, now_ + watch_out);
+        }
+        if (at >= next_alarm_)
+            return;
+        next_alarm_ = at;
+        do_.set_alarm(AlarmId{1}, std::max<Time>(at - now_, 0));
+    }
+
+    Actions &do_;
+    std::ranlux24_base chance_;
+    PeerId self_;
+    std::uint32_t schedulers_ = 1, most_shots_ = 1;
+    Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
+    Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
+    double largest_ = 1, cold_units_ = 0;
+    bool parallel_ = false, may_call_off_ = false, on_request_ = false, whole_ = false, refuse_ = false;
+    std::map<WorkloadId, Workload> workloads_;
+    std::map<PlanId, Plan> plans_;
+    std::map<TaskId, Task> tasks_;
+    std::map<NodeId, Node> nodes_;
+    std::set<TaskId> moving_;                   // in turn, limit or placement
+    std::set<std::pair<Time, TaskId>> calls_;   // every task that is owed an answer, by its last call
+    std::map<VolumeId, LimitPart> limits_;
+    Turns turns_;
+    FurtherShots further_;
+};
+
+std::unique_ptr<Scheduler> make_scheduler(Actions &actions, std::uint64_t seed) {
+    return std::make_unique<Knotvane>(actions, seed);
+}
+
+} // namespace knotvane
--- /dev/null
+++ b/src/policy.hpp
@@ -0,0 +1,90 @@
+// The interface of the decisions: what a scheduler is told and what it may do about it.
+//
+// Call order: make_scheduler; the set-up calls, each once (workload and plan once for each); ready; then events in
+// the order in which they happen. A run of events that share one moment ends with settle, in which waiting work goes.
+// A list of nodes comes as list_begins, node_listed for each line, list_ends.
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace knotvane {
+
+// What a repeat of a task does: it may run again; repeats are dropped by a group of nodes; it must never run twice.
+enum class Repeat { reissuable, numbered, at_most_once };
+// The nodes that drop repeats of a numbered task.
+enum class Group { all, zone, shard };
+enum class NodeState { draining, gone, ready };
+enum class ListKind { whole, changes };
+// How a shot ended. Only full, unreachable and unsent prove that it did not run.
+enum class Outcome { answered, error, full, timed_out, unreachable, reset, called_off, unsent };
+enum class Column { active, waiting, busy, latency, served, errors, other };
+
+// What a scheduler may do.
+class Actions {
+  public:
+    virtual ~Actions() = default;
+    virtual void shoot(TaskId task, NodeId node, Time time_out) = 0;
+    virtual void call_off(TaskId task, ShotId shot) = 0;
+    virtual void deny(TaskId task, Time come_back_after) = 0;
+    virtual void error(TaskId task) = 0;
+    virtual void set_alarm(AlarmId alarm, Time wait) = 0;
+    virtual void follow_list() = 0;
+    virtual void ask_list() = 0;
+    virtual void probe(NodeId node) = 0;
+    virtual void tell_all(std::string_view text) = 0;
+    virtual void note(std::string_view text) = 0;
+};
+
+// What a scheduler is told.
+class Scheduler {
+  public:
+    virtual ~Scheduler() = default;
+
+    // Set-up, one call for each concern. A figure of zero means that the site does not have it.
+    virtual void set_place(PeerId self, std::uint32_t schedulers, ZoneId zone) = 0;
+    virtual void set_clock(Time step, Time answer_grace) = 0;
+    virtual void add_workload(WorkloadId id, Time due, Time client_timeout, double value, double late_part) = 0;
+    virtual void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) = 0;
+    virtual void set_turns(WorkloadId id, Time key_rest) = 0;
+    virtual void add_plan(PlanId id, double weight, double usual, double reserve, double price) = 0;
+    virtual void set_limit(PlanId id, double rate, double burst) = 0;
+    virtual void set_units(double mean, double largest, double share_worth, double spare_worth) = 0;
+    virtual void set_shots(std::uint32_t most, bool parallel, bool may_call_off) = 0;
+    virtual void set_further_shots(double each_task, double free, Time span) = 0;
+    virtual void set_denials(Time longest_wait) = 0;
+    virtual void set_list(bool on_request, Time ask_within, Time drain_grace) = 0;
+    virtual void set_cold(double units, Time span, Time warm_after) = 0;
+    virtual void set_probes(bool allowed) = 0;
+    virtual void set_peers(bool allowed) = 0;
+    virtual void add_report_column(Column column) = 0;
+    virtual void set_usage(Time meter, bool tells_elsewhere) = 0;
+    virtual void ready(Time now) = 0;
+
+    // Events.
+    virtual void list_begins(Time now, ListKind kind) = 0;
+    virtual void node_listed(NodeId node, ShardId shard, ZoneId zone, NodeState state, Time started) = 0;
+    virtual void list_ends() = 0;
+    virtual void list_failed(Time now) = 0;
+    virtual void task_taken(Time now, TaskId task, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
+                            KeyId key, double units, double hosts, bool writes, Time client_timeout) = 0;
+    // `ended`: the client has its answer. `meter`: what the volume was served everywhere,
+    // in parts of its plan's usual rate, below 0 if untold.
+    // `elsewhere`: units this node served to the volume for other schedulers.
+    virtual void shot_ended(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, bool ended,
+                            double meter, double elsewhere, std::span<const float> report) = 0;
+    virtual void task_withdrawn(Time now, TaskId task) = 0;
+    virtual void probe_ended(Time now, NodeId node, bool well, Time took, std::span<const float> report) = 0;
+    virtual void peer_told(Time now, PeerId peer, std::string_view text) = 0;
+    virtual void alarm(Time now, AlarmId alarm) = 0;
+    virtual void settle(Time now) = 0;
+};
+
+std::unique_ptr<Scheduler> make_scheduler(Actions &actions, std::uint64_t seed);
+
+} // namespace knotvane
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,236 @@
+// The decisions. Each test builds the state that it needs and calls one function.
+#include "../src/policy.cpp"
+
+#include <doctest/doctest.h>
+
+#include "helpers.hpp"
+
+using namespace knotvane;
+
+namespace {
+Volumes::Rank rank(std::uint64_t id) { return {static_cast<Time>(id) * ms, TaskId{id}}; }
+constexpr VolumeId a{1}, b{2};
+} // namespace
+
+TEST_SUITE("design") {
+    TEST_CASE("the eligible volume with the least finish tag goes first, weighted") {
+        Volumes v(8);
+        v.add(a, 1, rank(1));
+        v.add(b, 2, rank(2)); // budget 8 over weight 2: finish 4 against 8
+        CHECK(*v.choose(0) == b);
+    }
+    TEST_CASE("a written unit is charged ten times") {
+        CHECK(Volumes::charge_of(3, true) == 30);
+        CHECK(Volumes::charge_of(3, false) == 3);
+    }
+    TEST_CASE("virtual time grows by the charge over the waiting volumes' weights") {
+        Volumes v(8);
+        v.add(a, 1, rank(1));
+        v.add(b, 3, rank(2));
+        v.choose(0);
+        v.sent(rank(2), 4, 4);
+        CHECK(v.virtual_time() == doctest::Approx(1));
+    }
+    TEST_CASE("virtual time never trails the least start tag") {
+        Volumes v(8);
+        v.add(a, 1, rank(1));
+        v.add(a, 1, rank(2));
+        v.choose(0);
+        v.sent(rank(1), 4, 40);
+        v.exhaust(0);
+        v.choose(0);
+        CHECK(v.virtual_time() == doctest::Approx(40));
+    }
+    TEST_CASE("a turn cut off by the slice is charged its whole budget, which doubles") {
+        Volumes v(8);
+        v.add(a, 1, rank(1));
+        v.add(a, 1, rank(2));
+        v.choose(0);
+        v.sent(rank(1), 2, 2);
+        v.choose(125 * ms);
+        CHECK(v.lines().at(a).start == doctest::Approx(8));
+    }
+    TEST_CASE("a volume that empties is charged what it sent") {
+        Volumes v(8);
+        v.add(a, 1, rank(1));
+        v.choose(0);
+        v.sent(rank(1), 2, 2);
+        v.choose(1);
+        CHECK(v.lines().at(a).finish == doctest::Approx(2));
+    }
+    TEST_CASE("a budget holds the turn's charges, but a turn's first task always goes") {
+        Volumes v(8);
+        v.add(a, 1, rank(1));
+        v.add(a, 1, rank(2));
+        v.choose(0);
+        CHECK(v.fits(80));
+        v.sent(rank(1), 6, 6);
+        CHECK_FALSE(v.fits(3));
+    }
+    TEST_CASE("the window grows while per-unit latency is near its best") {
+        Window w;
+        for (int i = 0; i < 40; ++i)
+            w.answered(i * ms, 2, 10 * ms);
+        CHECK(w.size() > 8);
+    }
+    TEST_CASE("the window halves at most once per round trip, and not below its floor") {
+        Window w;
+        for (int i = 0; i < 200; ++i)
+            w.answered(i * ms, 2, 10 * ms);
+        double before = w.size();
+        w.halve(sec, 50 * ms);
+        w.halve(sec + 10 * ms, 50 * ms);
+        CHECK(w.size() == doctest::Approx(before / 2));
+    }
+}
+
+TEST_SUITE("rules") {
+    TEST_CASE("1: a task that waits is answered before its client timeout") {
+        Bench t;
+        t.task(0, 1); // no node is listed
+        t.s->settle(0);
+        t.s->settle(2 * sec - 4 * ms);
+        CHECK(t.did.count("deny 1") == 1);
+    }
+    TEST_CASE("1: a task whose shot is out is answered before its client timeout, and only once") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.s->settle(0);
+        t.s->settle(2 * sec - 4 * ms);
+        t.outcome(2 * sec, 1, Outcome::timed_out);
+        t.s->settle(2 * sec);
+        CHECK(t.did.count("deny 1") == 1);
+    }
+    TEST_CASE("2: no denial where a shot may have run and no group drops the repeat") {
+        Task t;
+        t.shots.push_back({});
+        CHECK_FALSE(may_deny(t, Repeat::at_most_once, Group::all));
+        CHECK_FALSE(may_deny(t, Repeat::numbered, Group::shard));
+        CHECK(may_deny(t, Repeat::numbered, Group::all));
+        t.shots[0].proved_not_run = true;
+        CHECK(may_deny(t, Repeat::at_most_once, Group::all));
+    }
+    TEST_CASE("2: a numbered task goes again only inside its group and window") {
+        Task t;
+        t.shots.push_back({NodeId{1}, ShardId{1}, ZoneId{0}, 0, false, false});
+        Workload w;
+        w.repeat = Repeat::numbered, w.group = Group::shard, w.repeat_window = sec;
+        Node same(NodeId{9}, 8), other(NodeId{2}, 8);
+        same.shard = ShardId{1}, other.shard = ShardId{2};
+        CHECK(may_shoot(t, w, same, 3, false, 900 * ms, 4 * ms));
+        CHECK_FALSE(may_shoot(t, w, same, 3, false, 999 * ms, 4 * ms));
+        CHECK_FALSE(may_shoot(t, w, other, 3, false, 0, 0));
+    }
+    TEST_CASE("2: no parallel shots where they are forbidden, and no more than the most") {
+        Task t;
+        t.shots.push_back({NodeId{1}, ShardId{1}, ZoneId{0}, 0, true, false});
+        Node n(NodeId{1}, 8);
+        CHECK_FALSE(may_shoot(t, Workload{}, n, 3, false, 0, 0));
+        CHECK(may_shoot(t, Workload{}, n, 3, true, 0, 0));
+        CHECK_FALSE(may_shoot(t, Workload{}, n, 1, true, 0, 0));
+    }
+    TEST_CASE("3: nothing goes to a node that drains") {
+        Bench t;
+        t.list(0, NodeState::draining);
+        t.task(0, 1);
+        t.s->settle(0);
+        CHECK(t.did.count("shoot") == 0);
+    }
+    TEST_CASE("3: a node left out of a whole list is removed") {
+        Bench t;
+        t.list(0);
+        t.s->list_begins(ms, ListKind::whole);
+        t.s->list_ends();
+        t.task(ms, 1);
+        t.s->settle(ms);
+        CHECK(t.did.count("shoot") == 0);
+    }
+    TEST_CASE("3: a list that must be asked is followed") {
+        Bench t;
+        t.s->set_list(true, 10 * sec, sec);
+        t.s->ready(0);
+        CHECK(t.did.count("follow") == 1);
+    }
+    TEST_CASE("4: a cold node gets this scheduler's part of what it bears in any span") {
+        ColdGate g;
+        g.sent(0, 8, 2 * sec);
+        CHECK(g.allows(2 * sec, 8, 16, 2 * sec));
+        CHECK_FALSE(g.allows(2 * sec, 9, 16, 2 * sec));
+        CHECK(g.allows(2 * sec + 1, 9, 16, 2 * sec));
+    }
+    TEST_CASE("4: a scheduler just started sends nothing to a cold node, having forgotten what it sent") {
+        Bench t;
+        t.s->ready(100 * sec);
+        t.list(100 * sec, NodeState::ready, 99 * sec);
+        t.task(100 * sec, 1);
+        t.s->settle(100 * sec);
+        CHECK(t.did.count("shoot") == 0);
+    }
+    TEST_CASE("5: tasks with one key go one at a time, in order, with a rest after a time-out") {
+        Bench t;
+        t.s->set_turns(WorkloadId{0}, 100 * ms);
+        t.list(0);
+        t.task(0, 1, 1, 42);
+        t.task(0, 2, 1, 42);
+        t.s->settle(0);
+        CHECK(t.did.count("shoot") == 1);
+        t.outcome(600 * ms, 1, Outcome::reset);
+        t.task(600 * ms, 3, 1, 42);
+        t.s->settle(600 * ms);
+        CHECK(t.did.count("shoot 3") == 0);
+    }
+    TEST_CASE("6: further shots stay within free plus a part of the tasks taken") {
+        FurtherShots f;
+        f.set(0.5, 1, sec);
+        f.taken(0);
+        f.taken(0);
+        f.shot(0);
+        CHECK(f.allowed(0));
+        f.shot(0);
+        CHECK_FALSE(f.allowed(0));
+        CHECK(f.allowed(sec + 1));
+    }
+    TEST_CASE("7: the part is the limit over the hosts and starts empty") {
+        LimitPart p(10, 20, 0);
+        CHECK_FALSE(p.take(0, 1, 2));
+        CHECK(p.take(sec, 5, 2));
+        CHECK_FALSE(p.take(sec, 1, 2));
+    }
+    TEST_CASE("7: units set aside but not sent keep the part from refilling past its burst") {
+        LimitPart p(10, 20, 0);
+        CHECK(p.take(10 * sec, 10, 2));
+        CHECK_FALSE(p.take(20 * sec, 1, 2));
+        p.sent(10);
+        CHECK(p.take(30 * sec, 10, 2));
+    }
+}
+
+TEST_SUITE("beside the design") {
+    TEST_CASE("a node with shots out that is not heard from gets no more than trial shots") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.s->settle(0);
+        for (std::uint64_t i = 2; i < 10; ++i)
+            t.task(600 * ms, i);
+        t.s->settle(600 * ms);
+        CHECK(t.did.count("shoot") <= 2);
+    }
+    TEST_CASE("a waiting task that cannot be in time any more is ended at once") {
+        Bench t;
+        t.list(0);
+        for (std::uint64_t i = 1; i < 10; ++i)
+            t.task(0, i);
+        t.s->settle(0);
+        t.s->settle(501 * ms);
+        CHECK(t.did.count("deny") == 5);
+    }
+    TEST_CASE("a new object goes to a node that is ready") {
+        Bench t;
+        t.list(0, NodeState::draining);
+        t.task(0, 1, -1);
+        t.s->settle(0);
+        CHECK(t.did.count("shoot 1 2") == 1);
+    }
+}
