Take a node for cold only after a refusal or a long silence

Cause: one slow answer (over 500 ms) counted as silence and its end as a restart, so warm nodes got a cold node's part for up to 18 s; resets alone did the same. Told from restarts: no refused connection, nodes kept answering between resets.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -302,7 +302,7 @@
     std::set<std::pair<Time, std::pair<TaskId, ShotId>>> out; // by the time sent
     double units_waiting = 0, units_out = 0;
     Time heard = 0, last_trial = 0;
-    bool silent = false;
+    bool silent = false, refused = false;
     Samples<Time, 32> took;          // of the last answers
     Samples<double, 32> unit_time;   // the same by units, in seconds
     // What a task is expected to take there once sent: the quick quarter, since the slow rest holds waiting.
@@ -673,11 +673,13 @@
         node.units_out -= t.units;
         node.volumes.returned(t.volume);
         if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
-            node.heard = now_;
-            if (node.silent) { // it may have restarted before the list says so
-                node.silent = false;
+            // It may have restarted before the list says so: taken for cold if it refused a connection, or was
+            // silent for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
+            constexpr Time restart = 2 * sec; // no process was seen back sooner
+            if (node.refused || (node.silent && now_ - node.heard > restart))
                 node.cold_until = std::max(node.cold_until, now_ + warm_after_);
-            }
+            node.silent = node.refused = false;
+            node.heard = now_;
         }
         if (how == Outcome::answered) {
             node.took.add(took);
@@ -685,8 +687,8 @@
             node.window.answered(now_, std::max(t.units, 1.0), took);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
-        } else if (how == Outcome::unreachable || how == Outcome::reset) {
-            node.silent = true;
+        } else if (how == Outcome::unreachable) {
+            node.silent = node.refused = true;
         }
     }
     // With shots out and nothing heard for longer than it ever took, a node is silent: whatever the cause, it must
