Share the window's floor of four among the schedulers

Cause: every host kept four shots at each node, 12 to 32 in all before two cores, so what was sent was late. Kept as the design's four divided by the schedulers, one at least, in the way that the design divides limits.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -135,6 +135,9 @@
   public:
     static constexpr double floor = 4, ceiling = 32; // the design's
     static constexpr std::size_t lately = 8; // answers that make one reading: fewer swing with the tasks' own costs
+    // The floor is the node's: schedulers share it, as they share limits. Each with the whole of it, eight of them
+    // would keep 32 shots at a node of four slots, late whatever the order.
+    explicit Window(std::uint32_t schedulers) : floor_(std::max(1.0, floor / schedulers)), size_(floor_) {}
     bool open(std::size_t out) const { return static_cast<double>(out) < std::floor(size_); }
     double size() const { return size_; }
     // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best.
@@ -156,11 +159,11 @@
         if (now < halved_ + round_trip)
             return;
         halved_ = now;
-        size_ = std::max(floor, size_ / 2);
+        size_ = std::max(floor_, size_ / 2);
     }
 
   private:
-    double size_ = floor;
+    double floor_, size_;
     Time halved_ = 0;
     Samples<std::pair<double, double>, lately> took_;
     Samples<double, 256> best_; // recent: a few seconds of answers on a busy node
@@ -288,7 +291,7 @@
 
 // ---- A node, as this scheduler sees it.
 struct Node {
-    Node(NodeId i, double largest) : id(i), volumes(largest) {}
+    Node(NodeId i, std::uint32_t schedulers, double largest) : id(i), window(schedulers), volumes(largest) {}
     NodeId id;
     ShardId shard;
     ZoneId zone;
@@ -398,7 +401,7 @@
             node.listed = false;
     }
     void node_listed(NodeId id, ShardId shard, ZoneId zone, NodeState state, Time started) override {
-        Node &node = nodes_.try_emplace(id, id, largest_).first->second;
+        Node &node = nodes_.try_emplace(id, id, schedulers_, largest_).first->second;
         node.listed = true;
         node.shard = shard, node.zone = zone, node.state = state;
         if (started > node.started) { // a restart: what was silent before says nothing of it now
