--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -25,13 +25,17 @@
     void call_off(TaskId task, ShotId shot) override {
         Record(bytes, 264).put(task.value).put(static_cast<std::uint8_t>(shot.value));
     }
-    void deny(TaskId task, Time come_back_after) override { Record(bytes, 268).put(task.value).time(come_back_after); }
+    void deny(TaskId task, Time come_back_after) override {
+        Record(bytes, 268).put(task.value).time(come_back_after);
+    }
     void error(TaskId task) override { Record(bytes, 263).put(task.value); }
     void set_alarm(AlarmId alarm, Time wait) override { Record(bytes, 260).put(alarm.value).time(wait); }
     void follow_list() override { Record(bytes, 265).put(std::uint8_t{1}); }
     void ask_list() override { Record(bytes, 262); }
     void probe(NodeId node) override { Record(bytes, 258).address(node.value); }
-    void tell_all(std::string_view text) override { Record(bytes, 267).put(std::uint32_t{0xffffffff}).text(text); }
+    void tell_all(std::string_view text) override {
+        Record(bytes, 267).put(std::uint32_t{0xffffffff}).text(text);
+    }
     void note(std::string_view text) override { Record(bytes, 266).text(text); }
 };
 
@@ -70,15 +74,16 @@
 }
 
 void set_up(Scheduler &to, const Options &o) {
-    to.set_place(PeerId{o.count("Index")}, std::max(1u, o.count("Balancers", 1)), ZoneId{o.count("Locality")});
+    to.set_place(PeerId{o.count("Index")}, std::max(1u, o.count("Balancers", 1)),
+                 ZoneId{o.count("Locality")});
     to.set_clock(o.time("StepS"), o.time("Rules.GraceToAnswerS"));
     for (std::uint32_t i = 0; i < o.count("Classes.count"); ++i) {
         std::string at = "Classes." + std::to_string(i) + ".";
         WorkloadId id{i};
         to.add_workload(id, o.time(at + "TargetS"), o.time(at + "DeadlineS"), o.number(at + "Points"),
                         o.number(at + "LateWorth"));
-        to.set_repeat(id, repeat_of(o.text(at + "Effect"), at + "Effect"), group_of(o.text(at + "Group"), at + "Group"),
-                      o.time(at + "RepeatWindowS"));
+        to.set_repeat(id, repeat_of(o.text(at + "Effect"), at + "Effect"),
+                      group_of(o.text(at + "Group"), at + "Group"), o.time(at + "RepeatWindowS"));
         if (o.flag(at + "InTurn"))
             to.set_turns(id, o.time("Rules.KeyRestS"));
     }
@@ -95,9 +100,11 @@
     to.set_shots(o.count("Permissions.MaxAttempts", 1), o.flag("Permissions.ParallelTries"),
                  o.flag("Permissions.Cancel"));
     if (o.has("Rules.ResendSpanS"))
-        to.set_further_shots(o.number("Rules.ResendRatio"), o.number("Rules.BudgetFree"), o.time("Rules.ResendSpanS"));
+        to.set_further_shots(o.number("Rules.ResendRatio"), o.number("Rules.BudgetFree"),
+                             o.time("Rules.ResendSpanS"));
     to.set_denials(o.flag("Permissions.RetryAfter") ? o.time("Permissions.MaxRetryAfterS") : 0);
-    to.set_list(o.text("RegistryMode") == "on_request", o.time("Rules.AskWithinS"), o.time("Rules.DrainGraceS"));
+    to.set_list(o.text("RegistryMode") == "on_request", o.time("Rules.AskWithinS"),
+                o.time("Rules.DrainGraceS"));
     to.set_cold(o.number("Extra.ColdUnits"), o.time("Rules.FallS"), o.time("Rules.WarmAfterS"));
     to.set_probes(o.flag("Permissions.Probes"));
     to.set_peers(o.flag("Permissions.Peers"));
@@ -231,7 +238,8 @@
         double units = in.get<float>("units");
         if (!std::isfinite(hosts) || !std::isfinite(units))
             throw Malformed("task: hosts or units is not a number");
-        to.task_taken(now_, task, workload, volume, plan, shard, key, units, hosts, (bits & 4) != 0, client_timeout);
+        to.task_taken(now_, task, workload, volume, plan, shard, key, units, hosts, (bits & 4) != 0,
+                      client_timeout);
         break;
     }
     case 260: {
--- a/src/drill/host.hpp
+++ b/src/drill/host.hpp
@@ -1,5 +1,5 @@
-// Hosts any number of schedulers behind the drill's wire. It decides nothing: a decoded field goes straight into a
-// call, and a call goes straight out as a record.
+// Hosts any number of schedulers behind the drill's wire. It decides nothing: a decoded field goes straight
+// into a call, and a call goes straight out as a record.
 #pragma once
 
 #include <array>
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -42,11 +42,14 @@
             if (got < 4)
                 throw knotvane::wire::Malformed("stream ends inside a frame's length");
             if (length < header)
-                throw knotvane::wire::Malformed("frame length " + std::to_string(length) + " is under its header's 12");
+                throw knotvane::wire::Malformed("frame length " + std::to_string(length) +
+                                                " is under its header's 12");
             if (read_onto(frame, length - 4) < length - 4)
-                throw knotvane::wire::Malformed("stream ends inside a frame of " + std::to_string(length) + " bytes");
+                throw knotvane::wire::Malformed("stream ends inside a frame of " + std::to_string(length) +
+                                                " bytes");
             std::string reply = host.reply_to(frame);
-            if (std::fwrite(reply.data(), 1, reply.size(), stdout) < reply.size() || std::fflush(stdout) != 0) {
+            if (std::fwrite(reply.data(), 1, reply.size(), stdout) < reply.size() ||
+                std::fflush(stdout) != 0) {
                 std::fprintf(stderr, "knotvane_drill: cannot write a reply\n");
                 return 1;
             }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,14 +1,17 @@
-// The decisions of a knotvane scheduler, all of them. Its interface is policy.hpp: the adapter, and later the real
-// program, calls the set-up functions once, then one function for each event, then settle at the end of each moment.
+// The decisions of a knotvane scheduler, all of them. Its interface is policy.hpp: the adapter, and later the
+// real program, calls the set-up functions once, then one function for each event, then settle at the end of
+// each moment.
 //
-// A task passes: intake (answers, client timeouts) -> turn by key -> limit -> placement -> the node's volumes (tags,
-// budgets, rate, window) -> gates (drain, cold) -> shots. Outcomes go back the other way.
+// A task passes: intake (answers, client timeouts) -> turn by key -> limit -> placement -> the node's volumes
+// (tags, budgets, rate, window) -> gates (drain, cold) -> shots. Outcomes go back the other way.
 //
 // The design is BFQ+'s (docs/design.md). Beside it stand these mechanisms, six at most:
-//   1. silence: a node with shots out that is not heard from gets single trial shots, in turns, until it answers
+//   1. silence: a node with shots out that is not heard from gets single trial shots, in turns, until it
+//   answers
 //   2. giving up: a waiting task that can no longer be delivered by its due time is ended at once
 //   3. two picks: a new object goes to the better of two nodes drawn at random
-//   4. cold part: a node that is new, or answers after silence, gets this scheduler's even part of what it bears
+//   4. cold part: a node that is new, or answers after silence, gets this scheduler's even part of what it
+//   bears
 //   5. further shots: only where no effect can double, within the budget, with more time left than one takes
 #include "policy.hpp"
 
@@ -35,7 +38,8 @@
         auto it = lines_.find(key);
         return it == lines_.end() || (it->second.tasks.front() == task && now >= it->second.rest_until);
     }
-    // After an outcome that leaves a shot maybe running, the key rests. Guards against a successor overtaking it.
+    // After an outcome that leaves a shot maybe running, the key rests. Guards against a successor overtaking
+    // it.
     void rest(KeyId key, Time until) {
         auto &line = lines_[key];
         line.rest_until = std::max(line.rest_until, until);
@@ -54,13 +58,14 @@
     std::map<KeyId, Line> lines_;
 };
 
-// ---- Limit: this scheduler's part of one volume's store. What has passed but was not yet sent stays set aside, so
-// that the store never refills past what all schedulers' parts add up to.
+// ---- Limit: this scheduler's part of one volume's store. What has passed but was not yet sent stays set
+// aside, so that the store never refills past what all schedulers' parts add up to.
 class LimitPart {
   public:
     // Starts empty at the scheduler's own start: a life before this one may have just drawn a full burst.
     LimitPart(double rate, double burst, Time since) : rate_(rate), burst_(burst), at_(since) {}
-    // Takes units if the part holds them. The most hosts ever told counts: another host may still go by that number.
+    // Takes units if the part holds them. The most hosts ever told counts: another host may still go by that
+    // number.
     bool take(Time now, double units, double hosts) {
         hosts_ = std::max(hosts_, hosts);
         level_ = std::min(level_ + rate_ / hosts_ * seconds(now - at_), burst_ / hosts_ - set_aside_);
@@ -108,8 +113,8 @@
     std::deque<Time> taken_, shots_;
 };
 
-// ---- Cold gate: what this scheduler sent one node lately. Guards against all schedulers pushing over a cold node,
-// each taking the whole of what it bears.
+// ---- Cold gate: what this scheduler sent one node lately. Guards against all schedulers pushing over a cold
+// node, each taking the whole of what it bears.
 class ColdGate {
   public:
     bool allows(Time now, double units, double part, Time span) {
@@ -134,9 +139,10 @@
 class Window {
   public:
     static constexpr double floor = 4, ceiling = 32; // the design's
-    static constexpr std::size_t lately = 8; // answers that make one reading: fewer swing with the tasks' own costs
-    // The floor is the node's: schedulers share it, as they share limits. Each with the whole of it, eight of them
-    // would keep 32 shots at a node of four slots, late whatever the order.
+    static constexpr std::size_t lately =
+        8; // answers that make one reading: fewer swing with the tasks' own costs
+    // The floor is the node's: schedulers share it, as they share limits. Each with the whole of it, eight of
+    // them would keep 32 shots at a node of four slots, late whatever the order.
     explicit Window(std::uint32_t schedulers) : floor_(std::max(1.0, floor / schedulers)), size_(floor_) {}
     bool open(std::size_t out) const { return static_cast<double>(out) < std::floor(size_); }
     double size() const { return size_; }
@@ -286,7 +292,8 @@
     std::map<VolumeId, Line> lines_;
     std::optional<VolumeId> serving_;
     Time began_ = 0;
-    Samples<std::pair<double, bool>, 32> turns_; // 32 turns: past that the filter's weight is under a fiftieth
+    Samples<std::pair<double, bool>, 32>
+        turns_; // 32 turns: past that the filter's weight is under a fiftieth
 };
 
 // ---- A node, as this scheduler sees it.
@@ -306,11 +313,12 @@
     double units_waiting = 0, units_out = 0;
     Time heard = 0, last_trial = 0;
     bool silent = false, refused = false;
-    Samples<Time, 32> took;          // of the last answers
-    Samples<double, 32> unit_time;   // the same by units, in seconds
+    Samples<Time, 32> took;        // of the last answers
+    Samples<double, 32> unit_time; // the same by units, in seconds
     // What a task is expected to take there once sent: the quick quarter, since the slow rest holds waiting.
     Time expected(double units) const { return static_cast<Time>(unit_time.quantile(0.25) * units * 1e9); }
-    // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of disks.
+    // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
+    // disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
 };
 
@@ -332,8 +340,8 @@
 }
 
 // Whether a shot, after those made, can do no harm at that node. Guards against effects that happen twice.
-bool may_shoot(const Task &task, const Workload &w, const Node &node, std::uint32_t most, bool parallel, Time now,
-               Time margin) {
+bool may_shoot(const Task &task, const Workload &w, const Node &node, std::uint32_t most, bool parallel,
+               Time now, Time margin) {
     if (task.shots.size() >= most || (!parallel && task.any_out()))
         return false;
     if (w.repeat == Repeat::reissuable)
@@ -343,7 +351,8 @@
             continue;
         if (w.repeat == Repeat::at_most_once || now + margin >= s.sent + w.repeat_window)
             return false;
-        if ((w.group == Group::shard && s.shard != node.shard) || (w.group == Group::zone && s.zone != node.zone))
+        if ((w.group == Group::shard && s.shard != node.shard) ||
+            (w.group == Group::zone && s.zone != node.zone))
             return false;
     }
     return true;
@@ -351,9 +360,12 @@
 
 class Knotvane final : public Scheduler {
   public:
-    Knotvane(Actions &actions, std::uint64_t seed) : do_(actions), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))) {}
+    Knotvane(Actions &actions, std::uint64_t seed)
+        : do_(actions), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))) {}
 
-    void set_place(PeerId self, std::uint32_t schedulers, ZoneId) override { self_ = self, schedulers_ = schedulers; }
+    void set_place(PeerId self, std::uint32_t schedulers, ZoneId) override {
+        self_ = self, schedulers_ = schedulers;
+    }
     void set_clock(Time step, Time) override { step_ = std::max(step, ms); }
     void add_workload(WorkloadId id, Time due, Time client_timeout, double, double) override {
         workloads_[id].due = due;
@@ -366,7 +378,9 @@
     void set_turns(WorkloadId id, Time key_rest) override {
         workloads_[id].in_turn = true, workloads_[id].key_rest = key_rest;
     }
-    void add_plan(PlanId id, double weight, double, double, double) override { plans_[id].weight = std::max(weight, 1e-6); }
+    void add_plan(PlanId id, double weight, double, double, double) override {
+        plans_[id].weight = std::max(weight, 1e-6);
+    }
     void set_limit(PlanId id, double rate, double burst) override {
         plans_[id].limit_rate = rate, plans_[id].limit_burst = burst;
     }
@@ -424,14 +438,15 @@
         ask_at_ = now + 500 * ms + static_cast<Time>(chance_() % 1000) * ms;
     }
 
-    void task_taken(Time now, TaskId id, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard, KeyId key,
-                    double units, double hosts, bool writes, Time client_timeout) override {
+    void task_taken(Time now, TaskId id, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
+                    KeyId key, double units, double hosts, bool writes, Time client_timeout) override {
         now_ = now;
         further_.taken(now);
         Task &t = tasks_[id];
         t.id = id, t.workload = workload, t.volume = volume, t.plan = plan, t.shard = shard, t.key = key;
         t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now;
-        // Two steps early, so that the batch in which the answer leaves still comes before the client is gone.
+        // Two steps early, so that the batch in which the answer leaves still comes before the client is
+        // gone.
         t.last_call = client_timeout - 2 * step_;
         t.due = std::min(now + workloads_[workload].due, t.last_call);
         calls_.insert({t.last_call, id});
@@ -440,8 +455,8 @@
             turns_.join(t.key, id);
         moving_.insert(id);
     }
-    void shot_ended(Time now, TaskId id, ShotId shot, NodeId at, Outcome how, Time took, bool ended, double, double,
-                    std::span<const float>) override {
+    void shot_ended(Time now, TaskId id, ShotId shot, NodeId at, Outcome how, Time took, bool ended, double,
+                    double, std::span<const float>) override {
         now_ = now;
         auto it = tasks_.find(id);
         if (it == tasks_.end() || shot.value >= it->second.shots.size() || !it->second.shots[shot.value].out)
@@ -568,7 +583,8 @@
         if (fit.empty())
             return nullptr;
         if (t.shard != no_shard) // a node that replaces another holds its shard too: the youngest counts
-            return *std::max_element(fit.begin(), fit.end(), [](auto *a, auto *b) { return a->started < b->started; });
+            return *std::max_element(fit.begin(), fit.end(),
+                                     [](auto *a, auto *b) { return a->started < b->started; });
         Node *a = fit[chance_() % fit.size()], *b = fit[chance_() % fit.size()];
         return cost(*b) < cost(*a) ? b : a;
     }
@@ -583,7 +599,8 @@
         node.units_waiting += t.units;
         node.volumes.add(t.volume, plans_[t.plan].weight, {t.due, t.id});
     }
-    // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or answered.
+    // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
+    // answered.
     void empty_queue(Node &node) {
         std::vector<TaskId> waiting;
         for (auto &[v, line] : node.volumes.lines())
@@ -622,7 +639,8 @@
             shoot(node, t);
         }
     }
-    // Ends waiting tasks that can't be delivered by their due time any more: what they would take goes to others.
+    // Ends waiting tasks that can't be delivered by their due time any more: what they would take goes to
+    // others.
     void drop_late(Node &node) {
         std::vector<TaskId> late;
         for (auto &[v, line] : node.volumes.lines())
@@ -639,7 +657,8 @@
     bool gates_open(Node &node, const Task &t) {
         if (node.silent) {
             // Trial shots, one at a time, the schedulers taking turns by their numbers.
-            constexpr Time turn = 250 * ms; // long enough for a trial to be answered before the next one's turn
+            constexpr Time turn =
+                250 * ms; // long enough for a trial to be answered before the next one's turn
             bool mine = static_cast<std::uint64_t>(now_ / turn) % schedulers_ == self_.value;
             if (!mine || now_ - node.last_trial < turn)
                 return false;
@@ -650,7 +669,8 @@
         if (now_ < born_ + cold_span_)
             return false;
         // A step is added to the span: what leaves in one batch may arrive in the next.
-        return cold_units_ <= 0 || node.cold.allows(now_, t.units, cold_units_ / schedulers_, cold_span_ + step_);
+        return cold_units_ <= 0 ||
+               node.cold.allows(now_, t.units, cold_units_ / schedulers_, cold_span_ + step_);
     }
 
     // ---- Shots.
@@ -676,8 +696,8 @@
         node.units_out -= t.units;
         node.volumes.returned(t.volume);
         if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
-            // It may have restarted before the list says so: taken for cold if it refused a connection, or was
-            // silent for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
+            // It may have restarted before the list says so: taken for cold if it refused a connection, or
+            // was silent for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
             constexpr Time restart = 2 * sec; // no process was seen back sooner
             if (node.refused || (node.silent && now_ - node.heard > restart))
                 node.cold_until = std::max(node.cold_until, now_ + warm_after_);
@@ -694,13 +714,15 @@
             node.silent = node.refused = true;
         }
     }
-    // With shots out and nothing heard for longer than it ever took, a node is silent: whatever the cause, it must
-    // not fill with doomed shots. Harm: a long pause past the patience costs the tasks that wait through it.
+    // With shots out and nothing heard for longer than it ever took, a node is silent: whatever the cause, it
+    // must not fill with doomed shots. Harm: a long pause past the patience costs the tasks that wait through
+    // it.
     void watch(Node &node) {
         if (!node.silent && !node.out.empty() && now_ - node.heard > node.patience())
             node.silent = true;
     }
-    // A shot came back without an answer: another one, if it can do no harm and can still be in time; else the end.
+    // A shot came back without an answer: another one, if it can do no harm and can still be in time; else
+    // the end.
     void again(Task &t) {
         leave_stage(t);
         t.stage = Stage::placement;
@@ -753,8 +775,8 @@
     std::map<PlanId, Plan> plans_;
     std::map<TaskId, Task> tasks_;
     std::map<NodeId, Node> nodes_;
-    std::set<TaskId> moving_;                   // in turn, limit or placement
-    std::set<std::pair<Time, TaskId>> calls_;   // every task that is owed an answer, by its last call
+    std::set<TaskId> moving_;                 // in turn, limit or placement
+    std::set<std::pair<Time, TaskId>> calls_; // every task that is owed an answer, by its last call
     std::map<VolumeId, LimitPart> limits_;
     Turns turns_;
     FurtherShots further_;
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -1,8 +1,8 @@
 // The interface of the decisions: what a scheduler is told and what it may do about it.
 //
-// Call order: make_scheduler; the set-up calls, each once (workload and plan once for each); ready; then events in
-// the order in which they happen. A run of events that share one moment ends with settle, in which waiting work goes.
-// A list of nodes comes as list_begins, node_listed for each line, list_ends.
+// Call order: make_scheduler; the set-up calls, each once (workload and plan once for each); ready; then
+// events in the order in which they happen. A run of events that share one moment ends with settle, in which
+// waiting work goes. A list of nodes comes as list_begins, node_listed for each line, list_ends.
 #pragma once
 
 #include "core/ids.hpp"
@@ -15,7 +15,8 @@
 
 namespace knotvane {
 
-// What a repeat of a task does: it may run again; repeats are dropped by a group of nodes; it must never run twice.
+// What a repeat of a task does: it may run again; repeats are dropped by a group of nodes; it must never run
+// twice.
 enum class Repeat { reissuable, numbered, at_most_once };
 // The nodes that drop repeats of a numbered task.
 enum class Group { all, zone, shard };
@@ -49,7 +50,8 @@
     // Set-up, one call for each concern. A figure of zero means that the site does not have it.
     virtual void set_place(PeerId self, std::uint32_t schedulers, ZoneId zone) = 0;
     virtual void set_clock(Time step, Time answer_grace) = 0;
-    virtual void add_workload(WorkloadId id, Time due, Time client_timeout, double value, double late_part) = 0;
+    virtual void add_workload(WorkloadId id, Time due, Time client_timeout, double value,
+                              double late_part) = 0;
     virtual void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) = 0;
     virtual void set_turns(WorkloadId id, Time key_rest) = 0;
     virtual void add_plan(PlanId id, double weight, double usual, double reserve, double price) = 0;
@@ -71,13 +73,14 @@
     virtual void node_listed(NodeId node, ShardId shard, ZoneId zone, NodeState state, Time started) = 0;
     virtual void list_ends() = 0;
     virtual void list_failed(Time now) = 0;
-    virtual void task_taken(Time now, TaskId task, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
-                            KeyId key, double units, double hosts, bool writes, Time client_timeout) = 0;
+    virtual void task_taken(Time now, TaskId task, WorkloadId workload, VolumeId volume, PlanId plan,
+                            ShardId shard, KeyId key, double units, double hosts, bool writes,
+                            Time client_timeout) = 0;
     // `ended`: the client has its answer. `meter`: what the volume was served everywhere,
     // in parts of its plan's usual rate, below 0 if untold.
     // `elsewhere`: units this node served to the volume for other schedulers.
-    virtual void shot_ended(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, bool ended,
-                            double meter, double elsewhere, std::span<const float> report) = 0;
+    virtual void shot_ended(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took,
+                            bool ended, double meter, double elsewhere, std::span<const float> report) = 0;
     virtual void task_withdrawn(Time now, TaskId task) = 0;
     virtual void probe_ended(Time now, NodeId node, bool well, Time took, std::span<const float> report) = 0;
     virtual void peer_told(Time now, PeerId peer, std::string_view text) = 0;
--- a/src/wire/reader.hpp
+++ b/src/wire/reader.hpp
@@ -1,5 +1,5 @@
-// Reads little-endian fields out of a run of bytes. A field past the end of a record counts as absent and reads as
-// zero; one that is cut in two is malformed.
+// Reads little-endian fields out of a run of bytes. A field past the end of a record counts as absent and
+// reads as zero; one that is cut in two is malformed.
 #pragma once
 
 #include <cmath>
