Expect the median time of recent answers when giving up

Tried: the task's expected time at a node from the quantile 0.25, 0.5, 0.6 and 0.8 of recent times per unit. Conclusion: the median; past it short due times at slow nodes are denied for nothing.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -315,8 +315,9 @@
     bool silent = false, refused = false;
     Samples<Time, 32> took;        // of the last answers
     Samples<double, 32> unit_time; // the same by units, in seconds
-    // What a task is expected to take there once sent: the quick quarter, since the slow rest holds waiting.
-    Time expected(double units) const { return static_cast<Time>(unit_time.quantile(0.25) * units * 1e9); }
+    // What a task is expected to take there once sent: the middle of the last answers, by units. The quick quarter sent too much
+    // that came late; the slow fifth denied too much where nodes are slow and due times short.
+    Time expected(double units) const { return static_cast<Time>(unit_time.quantile(0.5) * units * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
     // disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
