Order a volume's own tasks by value, then by due time

Cause: in overload, low-value tasks with long due times came to the front as they aged and took the place of those worth more. Harm: a workload of low value starves within its volume where that volume is beyond its share.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -183,7 +183,7 @@
     static constexpr Time slice = 125 * ms;           // the paper's
     static constexpr Time shortest_measure = 20 * ms; // the paper's: shorter turns say nothing of the rate
     static constexpr double write_charge = 10;        // the paper's
-    using Rank = std::pair<Time, TaskId>;             // earliest due time first, then as taken
+    using Rank = std::tuple<double, Time, TaskId>; // most value a unit, earliest due time, then as taken
     struct Line {
         double weight = 1, start = 0, finish = 0, budget = 0;
         std::size_t out = 0;
@@ -324,7 +324,8 @@
 };
 
 struct Workload {
-    Time due = 0, client_timeout = 0, repeat_window = 0, key_rest = 0;
+    double value = 1;
+    Time due = 0, repeat_window = 0, key_rest = 0;
     Repeat repeat = Repeat::reissuable;
     Group group = Group::all;
     bool in_turn = false;
@@ -368,9 +369,9 @@
         self_ = self, schedulers_ = schedulers;
     }
     void set_clock(Time step, Time) override { step_ = std::max(step, ms); }
-    void add_workload(WorkloadId id, Time due, Time client_timeout, double, double) override {
+    void add_workload(WorkloadId id, Time due, Time, double value, double) override {
         workloads_[id].due = due;
-        workloads_[id].client_timeout = client_timeout;
+        workloads_[id].value = value;
     }
     void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) override {
         auto &w = workloads_[id];
@@ -532,7 +533,7 @@
         moving_.erase(t.id);
         if (t.stage == Stage::queue) {
             Node &node = nodes_.at(t.node);
-            node.volumes.remove(t.volume, {t.due, t.id});
+            node.volumes.remove(t.volume, rank(t));
             node.units_waiting -= t.units;
         }
     }
@@ -545,6 +546,7 @@
             turns_.leave(t.key, t.id);
         tasks_.erase(it);
     }
+    Volumes::Rank rank(const Task &t) { return {-workloads_[t.workload].value, t.due, t.id}; }
     bool in_turn(const Task &t) { return workloads_[t.workload].in_turn && t.key != no_key; }
 
     // ---- Turn, limit and placement: each passes the task on or keeps it.
@@ -598,14 +600,14 @@
         t.stage = Stage::queue;
         t.node = node.id;
         node.units_waiting += t.units;
-        node.volumes.add(t.volume, plans_[t.plan].weight, {t.due, t.id});
+        node.volumes.add(t.volume, plans_[t.plan].weight, rank(t));
     }
     // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
     // answered.
     void empty_queue(Node &node) {
         std::vector<TaskId> waiting;
         for (auto &[v, line] : node.volumes.lines())
-            for (auto &[due, id] : line.tasks)
+            for (auto &[value, due, id] : line.tasks)
                 waiting.push_back(id);
         for (auto id : waiting) {
             Task &t = tasks_.at(id);
@@ -622,7 +624,7 @@
         watch(node);
         drop_late(node);
         while (auto v = node.volumes.choose(now_)) {
-            Task &t = tasks_.at(node.volumes.lines().at(*v).tasks.begin()->second);
+            Task &t = tasks_.at(std::get<TaskId>(*node.volumes.lines().at(*v).tasks.begin()));
             if (!t.shots.empty() && !may_go_again(t, node)) {
                 auto it = tasks_.find(t.id);
                 give_up(t, longest_wait_);
@@ -636,7 +638,7 @@
             }
             if (!node.window.open(node.out.size()) || !gates_open(node, t))
                 return;
-            node.volumes.sent({t.due, t.id}, t.units, charge);
+            node.volumes.sent(rank(t), t.units, charge);
             shoot(node, t);
         }
     }
@@ -645,7 +647,7 @@
     void drop_late(Node &node) {
         std::vector<TaskId> late;
         for (auto &[v, line] : node.volumes.lines())
-            for (auto &[due, id] : line.tasks)
+            for (auto &[value, due, id] : line.tasks)
                 if (now_ + node.expected(tasks_.at(id).units) > due)
                     late.push_back(id);
         for (auto id : late) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -8,7 +8,7 @@
 using namespace knotvane;
 
 namespace {
-Volumes::Rank rank(std::uint64_t id) { return {static_cast<Time>(id) * ms, TaskId{id}}; }
+Volumes::Rank rank(std::uint64_t id) { return {0, static_cast<Time>(id) * ms, TaskId{id}}; }
 constexpr VolumeId a{1}, b{2};
 } // namespace
 
