Let a plan's weight hold its reserve beside its share

Cause: with equal shares a volume with a large reserve got no more than any other at a full node. Weight = shares + reserve / share worth x (sum of shares / sum of usual rates), all from the settings.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -332,7 +332,7 @@
 };
 
 struct Plan {
-    double weight = 1, limit_rate = 0, limit_burst = 0;
+    double weight = 1, reserve = 0, limit_rate = 0, limit_burst = 0;
 };
 
 // Whether telling the client that trying again is harmless is true. Guards against effects that happen twice.
@@ -380,13 +380,17 @@
     void set_turns(WorkloadId id, Time key_rest) override {
         workloads_[id].in_turn = true, workloads_[id].key_rest = key_rest;
     }
-    void add_plan(PlanId id, double weight, double, double, double) override {
-        plans_[id].weight = std::max(weight, 1e-6);
+    void add_plan(PlanId id, double weight, double usual, double reserve, double) override {
+        plans_[id].weight = std::max(weight, 1e-6), plans_[id].reserve = reserve;
+        shares_ += weight, usual_ += usual;
     }
     void set_limit(PlanId id, double rate, double burst) override {
         plans_[id].limit_rate = rate, plans_[id].limit_burst = burst;
     }
-    void set_units(double, double largest, double, double) override { largest_ = std::max(1.0, largest); }
+    void set_units(double, double largest, double share_worth, double) override {
+        largest_ = std::max(1.0, largest);
+        share_worth_ = share_worth > 0 ? share_worth : 1;
+    }
     void set_shots(std::uint32_t most, bool parallel, bool may_call_off) override {
         most_shots_ = most, parallel_ = parallel, may_call_off_ = may_call_off;
     }
@@ -595,12 +599,17 @@
     double cost(const Node &n) const {
         return n.units_waiting + n.units_out + (n.silent ? 1e9 : 0) + (is_cold(n) ? 1e6 : 0);
     }
+    // The plan's share, and its reserve at what a unit inside it earns over one inside the share. By the share alone
+    // a volume with a large reserve is served no better than any, and what earns most waits behind what earns little.
+    double weight(const Plan &plan) const {
+        return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
+    }
     void enter(Node &node, Task &t) {
         moving_.erase(t.id);
         t.stage = Stage::queue;
         t.node = node.id;
         node.units_waiting += t.units;
-        node.volumes.add(t.volume, plans_[t.plan].weight, rank(t));
+        node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
     }
     // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
     // answered.
@@ -772,7 +781,7 @@
     std::uint32_t schedulers_ = 1, most_shots_ = 1;
     Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
     Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
-    double largest_ = 1, cold_units_ = 0;
+    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1;
     bool parallel_ = false, may_call_off_ = false, on_request_ = false, whole_ = false, refuse_ = false;
     std::map<WorkloadId, Workload> workloads_;
     std::map<PlanId, Plan> plans_;
