Count abandoned work in the window; hold a node that was full

Cause of the full nodes: a client that leaves frees its place in the window while the node goes on with the work. Abandoned shots now stay in the window until a later one is answered and count as slow readings; after a full answer the node is held for one task's time. Also catches work left by time-outs. Harm: a lost shot holds a place until the next answer.

--- a/src/core/samples.hpp
+++ b/src/core/samples.hpp
@@ -4,8 +4,11 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <utility>
 #include <vector>
 
+#include "core/time.hpp"
+
 namespace knotvane {
 
 template <class T, std::size_t Most> class Samples {
@@ -35,4 +38,22 @@
     std::deque<T> kept_;
 };
 
+// What was counted lately, by time.
+class Recent {
+  public:
+    void add(Time at, double amount) { kept_.emplace_back(at, amount); }
+    // What was counted since; forgets what came before that.
+    double since(Time from) {
+        double sum = 0;
+        while (!kept_.empty() && kept_.front().first < from)
+            kept_.pop_front();
+        for (const auto &[at, amount] : kept_)
+            sum += amount;
+        return sum;
+    }
+
+  private:
+    std::deque<std::pair<Time, double>> kept_;
+};
+
 } // namespace knotvane
--- a/src/core/task.hpp
+++ b/src/core/task.hpp
@@ -1,4 +1,4 @@
-// What is kept of a task and of its shots.
+// What is kept of a task and of its shots, and what is told of its workload and its plan.
 #pragma once
 
 #include <vector>
@@ -8,6 +8,24 @@
 
 namespace knotvane {
 
+// What a repeat of a task does: it may run again; repeats are dropped by a group of nodes; it must never run
+// twice.
+enum class Repeat { reissuable, numbered, at_most_once };
+// The nodes that drop repeats of a numbered task.
+enum class Group { all, zone, shard };
+
+struct Workload {
+    double value = 1;
+    Time due = 0, repeat_window = 0, key_rest = 0;
+    Repeat repeat = Repeat::reissuable;
+    Group group = Group::all;
+    bool in_turn = false;
+};
+
+struct Plan {
+    double weight = 1, reserve = 0, limit_rate = 0, limit_burst = 0;
+};
+
 struct Shot {
     NodeId node;
     ShardId shard;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -86,54 +86,21 @@
 };
 
 // ---- Further shots: how many may go beyond each task's first, in any window of the span.
-class FurtherShots {
-  public:
-    void set(double each, double free, Time span) { each_ = each, free_ = free, span_ = span; }
-    void taken(Time now) { note(taken_, now); }
-    void shot(Time now) { note(shots_, now); }
+struct FurtherShots {
+    double each = 0, free = 0;
+    Time span = 0;
+    Recent taken, shots;
+    // The edges are counted against us: a shot just a span ago counts, a task just a span ago does not.
     bool allowed(Time now) {
-        if (span_ == 0)
-            return true;
-        // The edges are counted against us: a shot just a span ago counts, a task just a span ago does not.
-        std::erase_if(shots_, [&](Time t) { return t < now - span_; });
-        std::erase_if(taken_, [&](Time t) { return t <= now - span_; });
-        return static_cast<double>(shots_.size() + 1) <= free_ + each_ * static_cast<double>(taken_.size());
-    }
-
-  private:
-    void note(std::deque<Time> &at, Time now) {
-        if (span_ == 0)
-            return;
-        at.push_back(now);
-        while (at.front() < now - span_)
-            at.pop_front();
+        return span == 0 || shots.since(now - span) + 1 <= free + each * taken.since(now - span + 1);
     }
-    double each_ = 0, free_ = 0;
-    Time span_ = 0;
-    std::deque<Time> taken_, shots_;
 };
 
-// ---- Cold gate: what this scheduler sent one node lately. Guards against all schedulers pushing over a cold
-// node, each taking the whole of what it bears.
-class ColdGate {
-  public:
-    bool allows(Time now, double units, double part, Time span) {
-        while (!sent_.empty() && sent_.front().first < now - span)
-            sent_.pop_front();
-        double sum = units;
-        for (auto &[at, u] : sent_)
-            sum += u;
-        return sum <= part;
-    }
-    void sent(Time now, double units, Time span) {
-        sent_.emplace_back(now, units);
-        while (sent_.front().first < now - span)
-            sent_.pop_front();
-    }
-
-  private:
-    std::deque<std::pair<Time, double>> sent_;
-};
+// ---- Cold gate: whether a cold node still bears these units within this scheduler's part. Guards against
+// all schedulers pushing it over, each taking the whole of what it bears.
+bool cold_allows(Recent &sent, Time now, double units, double part, Time span) {
+    return sent.since(now - span) + units <= part;
+}
 
 // ---- The window: how many shots this scheduler has out at one node.
 class Window {
@@ -183,7 +150,7 @@
     static constexpr Time slice = 125 * ms;           // the paper's
     static constexpr Time shortest_measure = 20 * ms; // the paper's: shorter turns say nothing of the rate
     static constexpr double write_charge = 10;        // the paper's
-    using Rank = std::tuple<double, Time, TaskId>; // most value a unit, earliest due time, then as taken
+    using Rank = std::tuple<double, Time, TaskId>;    // most value a unit, earliest due time, then as taken
     struct Line {
         double weight = 1, start = 0, finish = 0, budget = 0;
         std::size_t out = 0;
@@ -308,33 +275,23 @@
     bool listed = false;
     Window window;
     Volumes volumes;
-    ColdGate cold;
+    Recent sent;
     std::set<std::pair<Time, std::pair<TaskId, ShotId>>> out; // by the time sent
     double units_waiting = 0, units_out = 0;
-    Time heard = 0, last_trial = 0;
+    std::set<Time> ghosts; // when shots were sent that ended unanswered: their work may still be there
+    Time heard = 0, last_trial = 0, hold_until = 0;
     bool silent = false, refused = false;
     Samples<Time, 32> took;        // of the last answers
     Samples<double, 32> unit_time; // the same by units, in seconds
-    // What a task is expected to take there once sent: the middle of the last answers, by units. The quick quarter sent too much
-    // that came late; the slow fifth denied too much where nodes are slow and due times short.
+    // What a task is expected to take there once sent: the middle of the last answers, by units. The quick
+    // quarter sent too much that came late; the slow fifth denied too much where nodes are slow and due times
+    // short.
     Time expected(double units) const { return static_cast<Time>(unit_time.quantile(0.5) * units * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
     // disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
 };
 
-struct Workload {
-    double value = 1;
-    Time due = 0, repeat_window = 0, key_rest = 0;
-    Repeat repeat = Repeat::reissuable;
-    Group group = Group::all;
-    bool in_turn = false;
-};
-
-struct Plan {
-    double weight = 1, reserve = 0, limit_rate = 0, limit_burst = 0;
-};
-
 // Whether telling the client that trying again is harmless is true. Guards against effects that happen twice.
 bool may_deny(const Task &task, Repeat repeat, Group group) {
     return repeat == Repeat::reissuable || !task.may_have_run() ||
@@ -394,7 +351,9 @@
     void set_shots(std::uint32_t most, bool parallel, bool may_call_off) override {
         most_shots_ = most, parallel_ = parallel, may_call_off_ = may_call_off;
     }
-    void set_further_shots(double each, double free, Time span) override { further_.set(each, free, span); }
+    void set_further_shots(double each, double free, Time span) override {
+        further_.each = each, further_.free = free, further_.span = span;
+    }
     void set_denials(Time longest_wait) override { longest_wait_ = longest_wait; }
     void set_list(bool on_request, Time ask_within, Time) override {
         on_request_ = on_request, ask_within_ = ask_within;
@@ -402,10 +361,6 @@
     void set_cold(double units, Time span, Time warm_after) override {
         cold_units_ = units, cold_span_ = span, warm_after_ = warm_after;
     }
-    void set_probes(bool) override {}
-    void set_peers(bool) override {}
-    void add_report_column(Column) override {}
-    void set_usage(Time, bool) override {}
     void ready(Time now) override {
         born_ = now;
         if (on_request_)
@@ -447,7 +402,8 @@
     void task_taken(Time now, TaskId id, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
                     KeyId key, double units, double hosts, bool writes, Time client_timeout) override {
         now_ = now;
-        further_.taken(now);
+        further_.taken.add(now, 1);
+        further_.taken.since(now - further_.span);
         Task &t = tasks_[id];
         t.id = id, t.workload = workload, t.volume = volume, t.plan = plan, t.shard = shard, t.key = key;
         t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now;
@@ -489,8 +445,6 @@
             end(it->second);
         forget_if_done(it);
     }
-    void probe_ended(Time, NodeId, bool, Time, std::span<const float>) override {}
-    void peer_told(Time, PeerId, std::string_view) override {}
     void alarm(Time now, AlarmId) override {
         if (now >= next_alarm_)
             next_alarm_ = never;
@@ -599,8 +553,9 @@
     double cost(const Node &n) const {
         return n.units_waiting + n.units_out + (n.silent ? 1e9 : 0) + (is_cold(n) ? 1e6 : 0);
     }
-    // The plan's share, and its reserve at what a unit inside it earns over one inside the share. By the share alone
-    // a volume with a large reserve is served no better than any, and what earns most waits behind what earns little.
+    // The plan's share, and its reserve at what a unit inside it earns over one inside the share. By the
+    // share alone a volume with a large reserve is served no better than any, and what earns most waits
+    // behind what earns little.
     double weight(const Plan &plan) const {
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
@@ -645,7 +600,11 @@
                 node.volumes.exhaust(now_);
                 continue;
             }
-            if (!node.window.open(node.out.size()) || !gates_open(node, t))
+            // Work that a time-out, a call-off or a client who left did not stop is still in the window, until a
+            // later shot is answered: nodes take tasks in turn. Guards against filling a node with doomed work.
+            // One shot may always go, or nothing would ever tell that the work is done.
+            if (!node.window.open(node.out.empty() ? 0 : node.out.size() + node.ghosts.size()) ||
+                !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
             shoot(node, t);
@@ -667,6 +626,8 @@
     }
     bool is_cold(const Node &node) const { return now_ < node.cold_until; }
     bool gates_open(Node &node, const Task &t) {
+        if (now_ < node.hold_until)
+            return false;
         if (node.silent) {
             // Trial shots, one at a time, the schedulers taking turns by their numbers.
             constexpr Time turn =
@@ -682,18 +643,19 @@
             return false;
         // A step is added to the span: what leaves in one batch may arrive in the next.
         return cold_units_ <= 0 ||
-               node.cold.allows(now_, t.units, cold_units_ / schedulers_, cold_span_ + step_);
+               cold_allows(node.sent, now_, t.units, cold_units_ / schedulers_, cold_span_ + step_);
     }
 
     // ---- Shots.
     void shoot(Node &node, Task &t) {
         if (!t.shots.empty())
-            further_.shot(now_);
+            further_.shots.add(now_, 1);
         else if (t.passed_limit)
             limits_.at(t.volume).sent(t.units);
         if (node.silent)
             node.last_trial = now_;
-        node.cold.sent(now_, t.units, cold_span_ + step_);
+        node.sent.add(now_, t.units);
+        node.sent.since(now_ - cold_span_ - step_);
         node.units_waiting -= t.units;
         node.units_out += t.units;
         if (node.out.empty())
@@ -707,6 +669,13 @@
         node.out.erase({t.shots[shot.value].sent, {t.id, shot}});
         node.units_out -= t.units;
         node.volumes.returned(t.volume);
+        if (how == Outcome::answered)
+            node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(t.shots[shot.value].sent));
+        if (how == Outcome::timed_out || how == Outcome::called_off) {
+            node.ghosts.insert(t.shots[shot.value].sent);
+            // It took this long at least: without it the window hears of the quick answers only, and grows.
+            node.window.answered(now_, std::max(t.units, 1.0), took);
+        }
         if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
             // It may have restarted before the list says so: taken for cold if it refused a connection, or
             // was silent for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
@@ -722,6 +691,7 @@
             node.window.answered(now_, std::max(t.units, 1.0), took);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
+            node.hold_until = now_ + node.expected(t.units); // a place is free when something was done
         } else if (how == Outcome::unreachable) {
             node.silent = node.refused = true;
         }
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "core/task.hpp"
 #include "core/time.hpp"
 
 #include <cstdint>
@@ -15,11 +16,6 @@
 
 namespace knotvane {
 
-// What a repeat of a task does: it may run again; repeats are dropped by a group of nodes; it must never run
-// twice.
-enum class Repeat { reissuable, numbered, at_most_once };
-// The nodes that drop repeats of a numbered task.
-enum class Group { all, zone, shard };
 enum class NodeState { draining, gone, ready };
 enum class ListKind { whole, changes };
 // How a shot ended. Only full, unreachable and unsent prove that it did not run.
@@ -47,7 +43,8 @@
   public:
     virtual ~Scheduler() = default;
 
-    // Set-up, one call for each concern. A figure of zero means that the site does not have it.
+    // Set-up, one call for each concern. A figure of zero means that the site does not have
+    // it. A call with a body of its own may be left out by a scheduler that has no use for it.
     virtual void set_place(PeerId self, std::uint32_t schedulers, ZoneId zone) = 0;
     virtual void set_clock(Time step, Time answer_grace) = 0;
     virtual void add_workload(WorkloadId id, Time due, Time client_timeout, double value,
@@ -62,10 +59,10 @@
     virtual void set_denials(Time longest_wait) = 0;
     virtual void set_list(bool on_request, Time ask_within, Time drain_grace) = 0;
     virtual void set_cold(double units, Time span, Time warm_after) = 0;
-    virtual void set_probes(bool allowed) = 0;
-    virtual void set_peers(bool allowed) = 0;
-    virtual void add_report_column(Column column) = 0;
-    virtual void set_usage(Time meter, bool tells_elsewhere) = 0;
+    virtual void set_probes(bool /*allowed*/) {}
+    virtual void set_peers(bool /*allowed*/) {}
+    virtual void add_report_column(Column /*column*/) {}
+    virtual void set_usage(Time /*meter*/, bool /*tells_elsewhere*/) {}
     virtual void ready(Time now) = 0;
 
     // Events.
@@ -82,8 +79,8 @@
     virtual void shot_ended(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took,
                             bool ended, double meter, double elsewhere, std::span<const float> report) = 0;
     virtual void task_withdrawn(Time now, TaskId task) = 0;
-    virtual void probe_ended(Time now, NodeId node, bool well, Time took, std::span<const float> report) = 0;
-    virtual void peer_told(Time now, PeerId peer, std::string_view text) = 0;
+    virtual void probe_ended(Time, NodeId, bool /*well*/, Time /*took*/, std::span<const float> /*report*/) {}
+    virtual void peer_told(Time, PeerId, std::string_view /*text*/) {}
     virtual void alarm(Time now, AlarmId alarm) = 0;
     virtual void settle(Time now) = 0;
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -158,11 +158,11 @@
         CHECK(t.did.count("follow") == 1);
     }
     TEST_CASE("4: a cold node gets this scheduler's part of what it bears in any span") {
-        ColdGate g;
-        g.sent(0, 8, 2 * sec);
-        CHECK(g.allows(2 * sec, 8, 16, 2 * sec));
-        CHECK_FALSE(g.allows(2 * sec, 9, 16, 2 * sec));
-        CHECK(g.allows(2 * sec + 1, 9, 16, 2 * sec));
+        Recent sent;
+        sent.add(0, 8);
+        CHECK(cold_allows(sent, 2 * sec, 8, 16, 2 * sec));
+        CHECK_FALSE(cold_allows(sent, 2 * sec, 9, 16, 2 * sec));
+        CHECK(cold_allows(sent, 2 * sec + 1, 9, 16, 2 * sec));
     }
     TEST_CASE("4: a scheduler just started sends nothing to a cold node, having forgotten what it sent") {
         Bench t;
@@ -187,12 +187,11 @@
     }
     TEST_CASE("6: further shots stay within free plus a part of the tasks taken") {
         FurtherShots f;
-        f.set(0.5, 1, sec);
-        f.taken(0);
-        f.taken(0);
-        f.shot(0);
+        f.each = 0.5, f.free = 1, f.span = sec;
+        f.taken.add(0, 2);
+        f.shots.add(0, 1);
         CHECK(f.allowed(0));
-        f.shot(0);
+        f.shots.add(0, 1);
         CHECK_FALSE(f.allowed(0));
         CHECK(f.allowed(sec + 1));
     }
