--- a/src/core/task.hpp
+++ b/src/core/task.hpp
@@ -15,7 +15,7 @@
 enum class Group { all, zone, shard };
 
 struct Workload {
-    double value = 1;
+    double value = 1, late_part = 0;
     Time due = 0, repeat_window = 0, key_rest = 0;
     Repeat repeat = Repeat::reissuable;
     Group group = Group::all;
@@ -48,6 +48,7 @@
     double units = 0;
     double hosts = 1;
     bool writes = false;
+    bool repeated = false;
     Time taken = 0;
     Time due = 0;
     Time last_call = 0; // its final answer leaves at this time at the latest
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -239,7 +239,7 @@
         if (!std::isfinite(hosts) || !std::isfinite(units))
             throw Malformed("task: hosts or units is not a number");
         to.task_taken(now_, task, workload, volume, plan, shard, key, units, hosts, (bits & 4) != 0,
-                      client_timeout);
+                      (bits & 2) != 0, client_timeout);
         break;
     }
     case 260: {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -326,9 +326,10 @@
         self_ = self, schedulers_ = schedulers;
     }
     void set_clock(Time step, Time) override { step_ = std::max(step, ms); }
-    void add_workload(WorkloadId id, Time due, Time, double value, double) override {
+    void add_workload(WorkloadId id, Time due, Time, double value, double late_part) override {
         workloads_[id].due = due;
         workloads_[id].value = value;
+        workloads_[id].late_part = late_part;
     }
     void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) override {
         auto &w = workloads_[id];
@@ -400,13 +401,15 @@
     }
 
     void task_taken(Time now, TaskId id, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
-                    KeyId key, double units, double hosts, bool writes, Time client_timeout) override {
+                    KeyId key, double units, double hosts, bool writes, bool repeated,
+                    Time client_timeout) override {
         now_ = now;
         further_.taken.add(now, 1);
         further_.taken.since(now - further_.span);
         Task &t = tasks_[id];
         t.id = id, t.workload = workload, t.volume = volume, t.plan = plan, t.shard = shard, t.key = key;
         t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now;
+        t.repeated = repeated;
         // Two steps early, so that the batch in which the answer leaves still comes before the client is
         // gone.
         t.last_call = client_timeout - 2 * step_;
@@ -506,7 +509,11 @@
             turns_.leave(t.key, t.id);
         tasks_.erase(it);
     }
-    Volumes::Rank rank(const Task &t) { return {-workloads_[t.workload].value, t.due, t.id}; }
+    // Value first; a client's repeat is past its due time, or nearly, and earns what a late answer does.
+    Volumes::Rank rank(const Task &t) {
+        const Workload &w = workloads_[t.workload];
+        return {-w.value * (t.repeated ? w.late_part : 1), t.due, t.id};
+    }
     bool in_turn(const Task &t) { return workloads_[t.workload].in_turn && t.key != no_key; }
 
     // ---- Turn, limit and placement: each passes the task on or keeps it.
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -71,8 +71,9 @@
     virtual void list_ends() = 0;
     virtual void list_failed(Time now) = 0;
     virtual void task_taken(Time now, TaskId task, WorkloadId workload, VolumeId volume, PlanId plan,
-                            ShardId shard, KeyId key, double units, double hosts, bool writes,
+                            ShardId shard, KeyId key, double units, double hosts, bool writes, bool repeated,
                             Time client_timeout) = 0;
+    // `repeated`: the client says that it asked before.
     // `ended`: the client has its answer. `meter`: what the volume was served everywhere,
     // in parts of its plan's usual rate, below 0 if untold.
     // `elsewhere`: units this node served to the volume for other schedulers.
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -54,7 +54,7 @@
     }
     void task(Time now, std::uint64_t id, int shard = 1, std::uint64_t key = 0, double units = 2) {
         s->task_taken(now, TaskId{id}, WorkloadId{0}, VolumeId{5}, PlanId{0}, ShardId{shard}, KeyId{key},
-                      units, 2, false, now + 2 * sec);
+                      units, 2, false, false, now + 2 * sec);
     }
     void outcome(Time now, std::uint64_t id, Outcome how, Time took = 10 * ms, std::uint32_t shot = 0) {
         s->shot_ended(now, TaskId{id}, ShotId{shot}, NodeId{1}, how, took, how == Outcome::answered, -1, 0,
