--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -632,12 +632,23 @@
     // Ends waiting tasks that can't be delivered by their due time any more: what they would take goes to
     // others.
     void drop_late(Node &node) {
-        std::vector<TaskId> late;
+        std::vector<TaskId> late, repeats;
         Time wait = clients_wait();
+        std::size_t firsts = 0;
         for (auto &[v, line] : node.volumes.lines())
-            for (auto &[value, due, id] : line.tasks)
-                if (now_ + node.expected(tasks_.at(id).units) > std::min(due, tasks_.at(id).taken + wait))
+            for (auto &[value, due, id] : line.tasks) {
+                const Task &t = tasks_.at(id);
+                if (now_ + node.expected(t.units) > std::min(due, t.taken + wait))
                     late.push_back(id);
+                else if (t.repeated)
+                    repeats.push_back(id);
+                else
+                    ++firsts;
+            }
+        // A repeat earns a late answer's part at most: where first tries wait, it makes room for them. Guards
+        // against a retry storm in which everybody is served late.
+        if (!node.window.open(node.out.size()) && firsts > 0)
+            late.insert(late.end(), repeats.begin(), repeats.end());
         for (auto id : late) {
             auto it = tasks_.find(id);
             give_up(it->second, node.silent ? longest_wait_ : node.patience());
