Know a client's repeat by what it asks, and keep its first due time

Cause: clients' repeats belong to their first try, so most of them are late before they come; unmarked ones were served as new. Known by volume, data, workload and size of a task that ended unanswered; where clients mark repeats, only marked ones. Harm: two tasks alike are taken for one.

--- /dev/null
+++ b/src/core/node.hpp
@@ -0,0 +1,32 @@
+// What a scheduler has seen of a node.
+#pragma once
+
+#include <set>
+#include <utility>
+
+#include "core/samples.hpp"
+#include "core/task.hpp"
+
+namespace knotvane {
+
+enum class NodeState { draining, gone, ready };
+
+struct NodeSeen {
+    NodeId id;
+    ShardId shard;
+    ZoneId zone;
+    NodeState state = NodeState::gone;
+    Time started = 0;
+    Time cold_until = 0;
+    bool listed = false;
+    Recent sent;                                              // units
+    std::set<std::pair<Time, std::pair<TaskId, ShotId>>> out; // by the time sent
+    std::set<Time> ghosts; // when shots were sent that ended unanswered: their work may still be there
+    double units_waiting = 0, units_out = 0;
+    Time heard = 0, last_trial = 0, hold_until = 0;
+    bool silent = false, refused = false;
+    Samples<Time, 32> took;        // of the last answers
+    Samples<double, 32> unit_time; // the same by units, in seconds
+};
+
+} // namespace knotvane
--- a/src/core/task.hpp
+++ b/src/core/task.hpp
@@ -51,6 +51,7 @@
     bool repeated = false;
     Time taken = 0;
     Time due = 0;
+    Time first_due = 0; // of the client's first try, where this one is known to be a repeat
     Time last_call = 0; // its final answer leaves at this time at the latest
     Stage stage = Stage::turn;
     NodeId node; // whose queue it waits in
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -103,6 +103,7 @@
         to.set_further_shots(o.number("Rules.ResendRatio"), o.number("Rules.BudgetFree"),
                              o.time("Rules.ResendSpanS"));
     to.set_denials(o.flag("Permissions.RetryAfter") ? o.time("Permissions.MaxRetryAfterS") : 0);
+    to.set_clients(o.flag("Clients.MarksRetry"));
     to.set_list(o.text("RegistryMode") == "on_request", o.time("Rules.AskWithinS"),
                 o.time("Rules.DrainGraceS"));
     to.set_cold(o.number("Extra.ColdUnits"), o.time("Rules.FallS"), o.time("Rules.WarmAfterS"));
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,18 +1,16 @@
-// The decisions of a knotvane scheduler, all of them. Its interface is policy.hpp: the adapter, and later the
-// real program, calls the set-up functions once, then one function for each event, then settle at the end of
-// each moment.
+// All decisions of a knotvane scheduler. Its interface is policy.hpp: the adapter, later the real program,
+// calls the set-up functions once, then one function for each event, then settle at the end of each moment.
 //
 // A task passes: intake (answers, client timeouts) -> turn by key -> limit -> placement -> the node's volumes
 // (tags, budgets, rate, window) -> gates (drain, cold) -> shots. Outcomes go back the other way.
 //
 // The design is BFQ+'s (docs/design.md). Beside it stand these mechanisms, six at most:
-//   1. silence: a node with shots out that is not heard from gets single trial shots, in turns, until it
-//   answers
-//   2. giving up: a waiting task that can no longer be delivered by its due time is ended at once
+//   1. silence: a node with shots out that is not heard from gets single trial shots, in turns
+//   2. giving up: a waiting task that can't be in time, or is a repeat in the way of others, ends at once
 //   3. two picks: a new object goes to the better of two nodes drawn at random
-//   4. cold part: a node that is new, or answers after silence, gets this scheduler's even part of what it
-//   bears
+//   4. cold part: a node that is new, or back from silence, gets our even part of what it bears
 //   5. further shots: only where no effect can double, within the budget, with more time left than one takes
+//   6. doomed work: what was abandoned at a node stays in the window, and a full node is held for a moment
 #include "policy.hpp"
 
 #include <cmath>
@@ -23,8 +21,8 @@
 #include <random>
 #include <set>
 
+#include "core/node.hpp"
 #include "core/samples.hpp"
-#include "core/task.hpp"
 
 namespace knotvane {
 
@@ -38,14 +36,9 @@
         auto it = lines_.find(key);
         return it == lines_.end() || (it->second.tasks.front() == task && now >= it->second.rest_until);
     }
-    // After an outcome that leaves a shot maybe running, the key rests. Guards against a successor overtaking
-    // it.
-    void rest(KeyId key, Time until) {
-        auto &line = lines_[key];
-        line.rest_until = std::max(line.rest_until, until);
-    }
+    // A key rests after an outcome that leaves a shot maybe running, so that no successor overtakes it.
+    void rest(KeyId key, Time until) { lines_[key].rest_until = std::max(lines_[key].rest_until, until); }
     void leave(KeyId key, TaskId task) { std::erase(lines_[key].tasks, task); }
-    // Forgets keys with nobody waiting and no rest left.
     void prune(Time now) {
         std::erase_if(lines_, [&](auto &l) { return l.second.tasks.empty() && now >= l.second.rest_until; });
     }
@@ -64,8 +57,7 @@
   public:
     // Starts empty at the scheduler's own start: a life before this one may have just drawn a full burst.
     LimitPart(double rate, double burst, Time since) : rate_(rate), burst_(burst), at_(since) {}
-    // Takes units if the part holds them. The most hosts ever told counts: another host may still go by that
-    // number.
+    // Takes units if the part holds them. The most hosts ever told counts: another may still go by that.
     bool take(Time now, double units, double hosts) {
         hosts_ = std::max(hosts_, hosts);
         level_ = std::min(level_ + rate_ / hosts_ * seconds(now - at_), burst_ / hosts_ - set_aside_);
@@ -264,25 +256,12 @@
 };
 
 // ---- A node, as this scheduler sees it.
-struct Node {
-    Node(NodeId i, std::uint32_t schedulers, double largest) : id(i), window(schedulers), volumes(largest) {}
-    NodeId id;
-    ShardId shard;
-    ZoneId zone;
-    NodeState state = NodeState::gone;
-    Time started = 0;
-    Time cold_until = 0;
-    bool listed = false;
+struct Node : NodeSeen {
+    Node(NodeId i, std::uint32_t schedulers, double largest) : window(schedulers), volumes(largest) {
+        id = i;
+    }
     Window window;
     Volumes volumes;
-    Recent sent;
-    std::set<std::pair<Time, std::pair<TaskId, ShotId>>> out; // by the time sent
-    double units_waiting = 0, units_out = 0;
-    std::set<Time> ghosts; // when shots were sent that ended unanswered: their work may still be there
-    Time heard = 0, last_trial = 0, hold_until = 0;
-    bool silent = false, refused = false;
-    Samples<Time, 32> took;        // of the last answers
-    Samples<double, 32> unit_time; // the same by units, in seconds
     // What a task is expected to take there once sent: the middle of the last answers, by units. The quick
     // quarter sent too much that came late; the slow fifth denied too much where nodes are slow and due times
     // short.
@@ -322,14 +301,11 @@
     Knotvane(Actions &actions, std::uint64_t seed)
         : do_(actions), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))) {}
 
-    void set_place(PeerId self, std::uint32_t schedulers, ZoneId) override {
-        self_ = self, schedulers_ = schedulers;
-    }
+    void set_place(PeerId self, std::uint32_t n, ZoneId) override { self_ = self, schedulers_ = n; }
     void set_clock(Time step, Time) override { step_ = std::max(step, ms); }
     void add_workload(WorkloadId id, Time due, Time, double value, double late_part) override {
-        workloads_[id].due = due;
-        workloads_[id].value = value;
-        workloads_[id].late_part = late_part;
+        auto &w = workloads_[id];
+        w.due = due, w.value = value, w.late_part = late_part;
     }
     void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) override {
         auto &w = workloads_[id];
@@ -356,9 +332,8 @@
         further_.each = each, further_.free = free, further_.span = span;
     }
     void set_denials(Time longest_wait) override { longest_wait_ = longest_wait; }
-    void set_list(bool on_request, Time ask_within, Time) override {
-        on_request_ = on_request, ask_within_ = ask_within;
-    }
+    void set_clients(bool mark_repeats) override { marked_ = mark_repeats; }
+    void set_list(bool ask, Time within, Time) override { on_request_ = ask, ask_within_ = within; }
     void set_cold(double units, Time span, Time warm_after) override {
         cold_units_ = units, cold_span_ = span, warm_after_ = warm_after;
     }
@@ -408,14 +383,21 @@
         further_.taken.since(now - further_.span);
         Task &t = tasks_[id];
         t.id = id, t.workload = workload, t.volume = volume, t.plan = plan, t.shard = shard, t.key = key;
-        t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now;
+        t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now,
         t.repeated = repeated;
-        // Two steps early, so that the batch in which the answer leaves still comes before the client is
-        // gone.
+        // Two steps early, so that the batch in which the answer leaves comes before the client is gone.
         t.last_call = client_timeout - 2 * step_;
-        t.due = std::min(now + workloads_[workload].due, t.last_call);
+        t.due = t.first_due = std::min(now + workloads_[workload].due, t.last_call);
+        // Asked before, and ended without an answer: the due time is still the first try's. Acts where
+        // clients do not mark their repeats, too. Harm: two tasks alike in volume, data, workload and size
+        // are taken for one.
+        auto before = unanswered_.extract(alike(t));
+        if (before && key != no_key && repeated == marked_) {
+            t.first_due = std::min(before.mapped(), t.due);
+            t.repeated = t.first_due <= now;
+            t.due = t.repeated ? t.due : t.first_due;
+        }
         calls_.insert({t.last_call, id});
-        t.stage = Stage::turn;
         if (in_turn(t))
             turns_.join(t.key, id);
         moving_.insert(id);
@@ -442,12 +424,11 @@
     void task_withdrawn(Time now, TaskId id) override {
         now_ = now;
         auto it = tasks_.find(id);
-        if (it == tasks_.end())
+        if (it == tasks_.end() || it->second.ended)
             return;
-        if (!it->second.ended) {
-            left_.add({now, now - it->second.taken});
-            end(it->second);
-        }
+        left_.add({now, now - it->second.taken});
+        unanswered_[alike(it->second)] = it->second.first_due;
+        end(it->second);
         forget_if_done(it);
     }
     void alarm(Time now, AlarmId) override {
@@ -468,10 +449,15 @@
         for (auto &[id, node] : nodes_)
             serve(node);
         turns_.prune(now);
+        constexpr Time come_again = 4 * sec; // past the longest wait that clients keep to, and their own
+        if (unanswered_.size() > 4096)       // no need to look at each moment
+            std::erase_if(unanswered_, [&](auto &u) { return u.second < now - come_again; });
         wake();
     }
 
   private:
+    using Alike = std::tuple<VolumeId, KeyId, WorkloadId, double>;
+    static Alike alike(const Task &t) { return {t.volume, t.key, t.workload, t.units}; }
     // ---- Intake: one final answer for each task, never late.
     void give_up(Task &t, Time come_back_after) {
         const Workload &w = workloads_[t.workload];
@@ -479,6 +465,7 @@
             do_.deny(t.id, std::min(come_back_after, longest_wait_));
         else
             do_.error(t.id);
+        unanswered_[alike(t)] = t.first_due;
         end(t);
     }
     void end(Task &t) {
@@ -629,8 +616,7 @@
                 lately.add(waited);
         return lately.size() < 8 ? never / 2 : lately.quantile(0.25);
     }
-    // Ends waiting tasks that can't be delivered by their due time any more: what they would take goes to
-    // others.
+    // Ends waiting tasks that can't be in time any more: what they would take goes to others.
     void drop_late(Node &node) {
         std::vector<TaskId> late, repeats;
         Time wait = clients_wait();
@@ -783,7 +769,8 @@
     Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
     Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
     double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1;
-    bool parallel_ = false, may_call_off_ = false, on_request_ = false, whole_ = false, refuse_ = false;
+    bool parallel_ = false, marked_ = false, may_call_off_ = false, on_request_ = false, whole_ = false,
+         refuse_ = false;
     std::map<WorkloadId, Workload> workloads_;
     std::map<PlanId, Plan> plans_;
     std::map<TaskId, Task> tasks_;
@@ -792,6 +779,7 @@
     std::set<std::pair<Time, TaskId>> calls_; // every task that is owed an answer, by its last call
     std::map<VolumeId, LimitPart> limits_;
     Samples<std::pair<Time, Time>, 32> left_; // clients who left early: when, and after how long
+    std::map<Alike, Time> unanswered_; // tasks ended without an answer, and when their first try was due
     Turns turns_;
     FurtherShots further_;
 };
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/ids.hpp"
-#include "core/task.hpp"
+#include "core/node.hpp"
 #include "core/time.hpp"
 
 #include <cstdint>
@@ -16,7 +16,6 @@
 
 namespace knotvane {
 
-enum class NodeState { draining, gone, ready };
 enum class ListKind { whole, changes };
 // How a shot ended. Only full, unreachable and unsent prove that it did not run.
 enum class Outcome { answered, error, full, timed_out, unreachable, reset, called_off, unsent };
@@ -57,6 +56,7 @@
     virtual void set_shots(std::uint32_t most, bool parallel, bool may_call_off) = 0;
     virtual void set_further_shots(double each_task, double free, Time span) = 0;
     virtual void set_denials(Time longest_wait) = 0;
+    virtual void set_clients(bool mark_repeats) = 0;
     virtual void set_list(bool on_request, Time ask_within, Time drain_grace) = 0;
     virtual void set_cold(double units, Time span, Time warm_after) = 0;
     virtual void set_probes(bool /*allowed*/) {}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -251,6 +251,20 @@
         t.s->settle(10 * ms);
         CHECK(t.did.count("shoot") == 2);
     }
+    TEST_CASE("a repeat whose first try is past its due time makes room for first tries") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.task(0, 2);
+        t.task(0, 3, 1, 77, 2); // waits behind a full window until it is given up
+        t.s->settle(0);
+        t.s->settle(501 * ms);
+        t.task(502 * ms, 4, 1, 77, 2);
+        t.task(502 * ms, 5);
+        t.s->settle(502 * ms);
+        CHECK(t.did.count("deny 4") == 1);
+        CHECK(t.did.count("deny 5") == 0);
+    }
     TEST_CASE("a new object goes to a node that is ready") {
         Bench t;
         t.list(0, NodeState::draining);
