Let a cold node's part grow evenly with its age

Cause: the stated cold units, divided by nine schedulers, for all of the warm time. A node's capacity is stated to start at a part of the whole and to grow no slower than evenly; the part now grows with it.

--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -106,7 +106,8 @@
     to.set_clients(o.flag("Clients.MarksRetry"));
     to.set_list(o.text("RegistryMode") == "on_request", o.time("Rules.AskWithinS"),
                 o.time("Rules.DrainGraceS"));
-    to.set_cold(o.number("Extra.ColdUnits"), o.time("Rules.FallS"), o.time("Rules.WarmAfterS"));
+    to.set_cold(o.number("Extra.ColdUnits"), o.time("Rules.FallS"), o.time("Rules.WarmAfterS"),
+                o.number("Rules.StartCapacity"));
     to.set_probes(o.flag("Permissions.Probes"));
     to.set_peers(o.flag("Permissions.Peers"));
     for (const auto &name : o.list("Report.Columns"))
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -334,7 +334,8 @@
     void set_denials(Time longest_wait) override { longest_wait_ = longest_wait; }
     void set_clients(bool mark_repeats) override { marked_ = mark_repeats; }
     void set_list(bool ask, Time within, Time) override { on_request_ = ask, ask_within_ = within; }
-    void set_cold(double units, Time span, Time warm_after) override {
+    void set_cold(double units, Time span, Time warm_after, double start_part) override {
+        start_part_ = start_part > 0 ? start_part : 1;
         cold_units_ = units, cold_span_ = span, warm_after_ = warm_after;
     }
     void ready(Time now) override {
@@ -641,6 +642,13 @@
             forget_if_done(it);
         }
     }
+    // Our even part of what the node bears: at its start the stated units, then more, as its capacity grows
+    // from the stated part of the whole evenly or faster. A silent node may start at any moment.
+    double cold_part(const Node &node) const {
+        double age = node.silent ? 0 : seconds(now_ - (node.cold_until - warm_after_)) / seconds(warm_after_);
+        double grown = std::clamp(1 + age * (1 - start_part_) / start_part_, 1.0, 1 / start_part_);
+        return cold_units_ / schedulers_ * grown;
+    }
     bool is_cold(const Node &node) const { return now_ < node.cold_until; }
     bool gates_open(Node &node, const Task &t) {
         if (now_ < node.hold_until)
@@ -659,8 +667,7 @@
         if (now_ < born_ + cold_span_)
             return false;
         // A step is added to the span: what leaves in one batch may arrive in the next.
-        return cold_units_ <= 0 ||
-               cold_allows(node.sent, now_, t.units, cold_units_ / schedulers_, cold_span_ + step_);
+        return cold_units_ <= 0 || cold_allows(node.sent, now_, t.units, cold_part(node), cold_span_ + step_);
     }
 
     // ---- Shots.
@@ -768,7 +775,7 @@
     std::uint32_t schedulers_ = 1, most_shots_ = 1;
     Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
     Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
-    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1;
+    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1, start_part_ = 1;
     bool parallel_ = false, marked_ = false, may_call_off_ = false, on_request_ = false, whole_ = false,
          refuse_ = false;
     std::map<WorkloadId, Workload> workloads_;
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -58,7 +58,7 @@
     virtual void set_denials(Time longest_wait) = 0;
     virtual void set_clients(bool mark_repeats) = 0;
     virtual void set_list(bool on_request, Time ask_within, Time drain_grace) = 0;
-    virtual void set_cold(double units, Time span, Time warm_after) = 0;
+    virtual void set_cold(double units, Time span, Time warm_after, double start_part) = 0;
     virtual void set_probes(bool /*allowed*/) {}
     virtual void set_peers(bool /*allowed*/) {}
     virtual void add_report_column(Column /*column*/) {}
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -44,7 +44,7 @@
         s->add_plan(PlanId{0}, 1, 10, 0, 1);
         s->set_units(2, 8, 0.3, 0.05);
         s->set_shots(3, false, false);
-        s->set_cold(32, 2 * sec, 10 * sec);
+        s->set_cold(32, 2 * sec, 10 * sec, 0.25);
     }
     void list(Time now, NodeState first = NodeState::ready, Time first_started = 0) {
         s->list_begins(now, ListKind::whole);
