Count time, not units alone, in the pick of two nodes

Nodes differ in speed; what we have waiting and out there now counts by the node's median time a unit.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -546,9 +546,9 @@
         Node *a = fit[chance_() % fit.size()], *b = fit[chance_() % fit.size()];
         return cost(*b) < cost(*a) ? b : a;
     }
-    // Our own counts: what we have waiting and out there, in units; a silent or cold node comes last.
+    // Our own counts: the time that what we have waiting and out there takes; a silent or cold node comes last.
     double cost(const Node &n) const {
-        return n.units_waiting + n.units_out + (n.silent ? 1e9 : 0) + (is_cold(n) ? 1e6 : 0);
+        return (1 + n.units_waiting + n.units_out) * n.unit_time.quantile(0.5) + (n.silent ? 1e9 : 0) + (is_cold(n) ? 1e6 : 0);
     }
     // The plan's share, and its reserve at what a unit inside it earns over one inside the share. By the
     // share alone a volume with a large reserve is served no better than any, and what earns most waits
