--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -687,8 +687,10 @@
         node.out.erase({t.shots[shot.value].sent, {t.id, shot}});
         node.units_out -= t.units;
         node.volumes.returned(t.volume);
-        if (how == Outcome::answered)
-            node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(t.shots[shot.value].sent));
+        if (how == Outcome::answered) {
+            node.overtaken = std::max(node.overtaken, t.shots[shot.value].sent);
+            node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(node.overtaken));
+        }
         if (how == Outcome::timed_out || how == Outcome::called_off) {
             node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
@@ -714,14 +716,15 @@
             node.silent = node.refused = true;
         }
     }
-    // With two shots overdue and nothing heard for longer than it ever took, a node is silent: whatever the
-    // cause, it must not fill with doomed shots. One alone may be lost while the node lives: it leaves the
-    // window, and the next one tells. Harm: a pause past the patience costs the tasks that wait through it.
+    // A shot is overdue past the node's patience, or overtaken: nodes take tasks in turn, and a later one was
+    // answered. It may be lost while the node lives, so it leaves the window. With two overdue and nothing
+    // heard the node is silent: whatever the cause, it must not fill with doomed shots. Harm: a task of great
+    // cost is overtaken too, and a pause past the patience costs the tasks that wait through it.
     void watch(Node &node) {
-        Time since = now_ - node.patience();
+        Time since = now_ - node.patience(), slow = now_ - 3 * node.took.quantile(0.5);
         node.overdue = 0;
-        for (auto it = node.out.begin(); it != node.out.end() && it->first < since; ++it)
-            ++node.overdue;
+        for (auto it = node.out.begin(); it != node.out.end(); ++it)
+            node.overdue += it->first < since || (it->first < node.overtaken && it->first < slow);
         node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(since));
         if (node.overdue >= 2 && node.heard < since)
             node.silent = true;
