--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -437,8 +437,7 @@
             follow(now);
         while (!calls_.empty() && calls_.begin()->first <= now) {
             auto it = tasks_.find(calls_.begin()->second);
-            give_up(it->second, 0);
-            forget_if_done(it);
+            give_up(it->second, 0), forget_if_done(it);
         }
         advance();
         for (auto &[id, node] : nodes_)
@@ -603,9 +602,9 @@
             shoot(node, t);
         }
     }
-    // How long clients wait now, where many leave before their time: the quickest quarter of the last who
-    // left. Guards against serving only those who are about to go. Acts while eight left within two seconds,
-    // as chance alone would not have it. Harm: the impatience of some shortens the wait of all.
+    // How long clients wait now, where many leave early: the quick quarter of those who left. Guards against
+    // serving only who is about to go. Acts while eight left within two seconds: more than chance. Harm: the
+    // impatience of some shortens the wait of all.
     Time clients_wait() const {
         Samples<Time, 32> lately;
         for (auto &[at, waited] : left_)
@@ -634,8 +633,7 @@
             late.insert(late.end(), repeats.begin(), repeats.end());
         for (auto id : late) {
             auto it = tasks_.find(id);
-            give_up(it->second, node.silent ? longest_wait_ : node.patience());
-            forget_if_done(it);
+            give_up(it->second, node.silent ? longest_wait_ : node.patience()), forget_if_done(it);
         }
     }
     // Our even part of what the node bears: at its start the stated units, then more, as its capacity grows
@@ -717,9 +715,9 @@
         }
     }
     // A shot is overdue past the node's patience, or overtaken: nodes take tasks in turn, and a later one was
-    // answered. It may be lost while the node lives, so it leaves the window. With two overdue and nothing
-    // heard the node is silent: whatever the cause, it must not fill with doomed shots. Harm: a task of great
-    // cost is overtaken too, and a pause past the patience costs the tasks that wait through it.
+    // answered. It may be lost while the node lives: it leaves the window. With two overdue and nothing heard
+    // the node is silent and must not fill with doomed shots, whatever the cause. Harm: costly tasks are
+    // overtaken too; a pause past the patience costs those that wait through it.
     void watch(Node &node) {
         Time since = now_ - node.patience(), slow = now_ - 3 * node.took.quantile(0.5);
         node.overdue = 0;
