--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -657,10 +657,10 @@
         }
         if (!node.silent && !is_cold(node))
             return true;
-        // Just started, we have forgotten what we sent in our earlier life.
+        // Just started, we have forgotten what we sent. (The step below: what leaves may arrive a batch
+        // late.)
         if (now_ < born_ + cold_span_)
             return false;
-        // A step is added to the span: what leaves in one batch may arrive in the next.
         return cold_units_ <= 0 || cold_allows(node.sent, now_, t.units, cold_part(node), cold_span_ + step_);
     }
 
