--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -657,8 +657,7 @@
         }
         if (!node.silent && !is_cold(node))
             return true;
-        // Just started, we have forgotten what we sent. (The step below: what leaves may arrive a batch
-        // late.)
+        // Just started, we have forgotten what we sent. Below: what leaves may arrive a step later.
         if (now_ < born_ + cold_span_)
             return false;
         return cold_units_ <= 0 || cold_allows(node.sent, now_, t.units, cold_part(node), cold_span_ + step_);
