Tell denied clients the longest wait

In place of the node's patience. Jams outlast that wait, and a repeat inside one is past its due time. Harm: after a short jam clients come back later than they could.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -612,7 +612,7 @@
                 lately.add(waited);
         return lately.size() < 8 ? never / 2 : lately.quantile(0.25);
     }
-    // Ends waiting tasks that can't be in time any more: what they would take goes to others.
+    // Ends waiting tasks that can't be in time any more, to be asked again past the jam if at all.
     void drop_late(Node &node) {
         std::vector<TaskId> late, repeats;
         Time wait = clients_wait();
@@ -633,7 +633,7 @@
             late.insert(late.end(), repeats.begin(), repeats.end());
         for (auto id : late) {
             auto it = tasks_.find(id);
-            give_up(it->second, node.silent ? longest_wait_ : node.patience()), forget_if_done(it);
+            give_up(it->second, longest_wait_), forget_if_done(it);
         }
     }
     // Our even part of what the node bears: at its start the stated units, then more, as its capacity grows
