--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -397,7 +397,7 @@
             turns_.join(t.key, id);
         moving_.insert(id);
     }
-    void shot_ended(Time now, TaskId id, ShotId shot, NodeId at, Outcome how, Time took, bool ended, double,
+    void shot_ended(Time now, TaskId id, ShotId shot, NodeId, Outcome how, Time took, bool ended, double,
                     double, std::span<const float>) override {
         now_ = now;
         auto it = tasks_.find(id);
@@ -407,7 +407,7 @@
         Shot &s = t.shots[shot.value];
         s.out = false;
         s.proved_not_run = how == Outcome::full || how == Outcome::unreachable || how == Outcome::unsent;
-        hear(nodes_.at(at), t, shot, how, took);
+        hear(nodes_.at(s.node), t, shot, how, took);
         if (in_turn(t) && (how == Outcome::timed_out || how == Outcome::reset || how == Outcome::called_off))
             turns_.rest(t.key, now + workloads_[t.workload].key_rest);
         if (ended && !t.ended)
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -67,6 +67,28 @@
         v.sent(rank(1), 6, 6);
         CHECK_FALSE(v.fits(3));
     }
+    TEST_CASE(
+        "budgets: exhaustion quadruples, timeout and shots out double, else an eighth of the maximum off") {
+        Volumes v(1); // new at half of a maximum that is still one largest task: 1
+        v.add(a, 1, rank(1));
+        v.add(a, 1, rank(2));
+        v.choose(0);
+        v.sent(rank(1), 100, 1);
+        v.exhaust(50 * ms); // 100 units in 50 ms: 2000 a second, 250 in a slice
+        CHECK(v.max_budget() == doctest::Approx(250));
+        CHECK(v.lines().at(a).budget == doctest::Approx(4));
+        v.choose(50 * ms);
+        v.choose(175 * ms); // cut off by the slice
+        CHECK(v.lines().at(a).budget == doctest::Approx(8));
+        CHECK(v.rate() == doctest::Approx(1750)); // seven eighths: no unit went in that turn
+        v.sent(rank(2), 1, 1);
+        v.choose(180 * ms); // emptied, shots out
+        CHECK(v.lines().at(a).budget == doctest::Approx(16));
+        v.returned(a);
+        v.returned(a);
+        v.add(b, 1, rank(3));
+        CHECK(v.lines().at(b).budget == doctest::Approx(1750 * 0.125 / 2)); // new: half the maximum
+    }
     TEST_CASE("the window grows while per-unit latency is near its best") {
         Window w(1);
         for (int i = 0; i < 40; ++i)
