--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -25,7 +25,8 @@
     std::size_t overdue = 0; // of those out, when last looked at
     double units_waiting = 0, units_out = 0;
     Time heard = 0, last_trial = 0, hold_until = 0;
-    Time overtaken = 0; // when the last sent of those answered was sent
+    Time lost = -1'000'000 * sec; // when a shot was last found lost
+    Time overtaken = 0;           // when the last sent of those answered was sent
     bool silent = false, refused = false;
     Samples<Time, 32> took;        // of the last answers
     Samples<double, 32> unit_time; // the same by units, in seconds
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -466,8 +466,7 @@
         leave_stage(t);
         if (t.passed_limit && t.shots.empty())
             limits_.at(t.volume).give_back(t.units);
-        calls_.erase({t.last_call, t.id});
-        t.ended = true;
+        calls_.erase({t.last_call, t.id}), t.ended = true;
         if (may_call_off_)
             for (std::uint32_t i = 0; i < t.shots.size(); ++i)
                 if (t.shots[i].out)
@@ -551,9 +550,7 @@
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
     void enter(Node &node, Task &t) {
-        moving_.erase(t.id);
-        t.stage = Stage::queue;
-        t.node = node.id;
+        moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units;
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
     }
@@ -594,9 +591,10 @@
             // Abandoned work stays in the window until a later shot is answered, as nodes take tasks in turn:
             // a node must not fill with doomed work. One shot may always go, or nothing would tell of its
             // end.
-            if (!node.window.open(node.out.empty() ? 0
-                                                   : node.out.size() - node.overdue + node.ghosts.size()) ||
-                !gates_open(node, t))
+            bool spare =
+                now_ < node.lost + 2 * sec; // where shots get lost, one more: the last loss is that near
+            std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
+            if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare) || !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
             shoot(node, t);
@@ -692,6 +690,8 @@
             node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took);
+            if (took > node.patience() && t.shots[shot.value].sent < node.overtaken)
+                node.lost = now_; // others were answered meanwhile
         }
         if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
             // It may have restarted before the list says so: taken for cold if it refused a connection, or
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -254,6 +254,20 @@
         t.s->settle(600 * ms);
         CHECK(t.did.count("shoot") == 3);
     }
+    TEST_CASE("after a lost shot one more than the window goes") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.s->settle(0);
+        t.task(ms, 2);
+        t.s->settle(ms);
+        t.outcome(11 * ms, 2, Outcome::answered);
+        t.outcome(900 * ms, 1, Outcome::timed_out, 900 * ms);
+        for (std::uint64_t i = 3; i < 10; ++i)
+            t.task(901 * ms, i);
+        t.s->settle(901 * ms);
+        CHECK(t.did.count("shoot") == 5); // two, then a window of two and one more
+    }
     TEST_CASE("a cold node's part grows with its age") {
         Bench t;
         t.s->set_cold(8, sec, 10 * sec, 0.1);
