Let tasks go to a cold node by lot where the even part is below one task

Cause: 72 stated units over 250 schedulers are a quarter of a unit each, so after a hall's restart a third of the nodes stood idle until warm, and a silent node was never tried again. Now a task goes with the chance at which the part is met in the mean over 20 s. Trial turns at a silent node fit into two seconds at any number of schedulers. What else it catches: any node back from silence.

--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -19,7 +19,7 @@
     Time started = 0;
     Time cold_until = 0;
     bool listed = false;
-    Recent sent;                                              // units
+    Recent sent, asked;                                       // units
     std::set<std::pair<Time, std::pair<TaskId, ShotId>>> out; // by the time sent
     std::set<Time> ghosts;   // when shots were sent that ended unanswered: their work may still be there
     std::size_t overdue = 0; // of those out, when last looked at
--- a/src/core/samples.hpp
+++ b/src/core/samples.hpp
@@ -41,19 +41,19 @@
 // What was counted lately, by time.
 class Recent {
   public:
-    void add(Time at, double amount) { kept_.emplace_back(at, amount); }
+    void add(Time at, double amount) { kept_.emplace_back(at, amount), sum_ += amount; }
     // What was counted since; forgets what came before that.
     double since(Time from) {
-        double sum = 0;
-        while (!kept_.empty() && kept_.front().first < from)
+        while (!kept_.empty() && kept_.front().first < from) {
+            sum_ -= kept_.front().second;
             kept_.pop_front();
-        for (const auto &[at, amount] : kept_)
-            sum += amount;
-        return sum;
+        }
+        return sum_ = kept_.empty() ? 0 : sum_; // no rounding outlives its samples
     }
 
   private:
     std::deque<std::pair<Time, double>> kept_;
+    double sum_ = 0;
 };
 
 } // namespace knotvane
--- a/src/core/task.hpp
+++ b/src/core/task.hpp
@@ -47,6 +47,7 @@
     KeyId key;
     double units = 0;
     double hosts = 1;
+    double lot = 0; // drawn for it, from 0 to 1
     bool writes = false;
     bool repeated = false;
     Time taken = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -89,9 +89,11 @@
 };
 
 // ---- Cold gate: whether a cold node still bears these units within this scheduler's part. Guards against
-// all schedulers pushing it over, each taking the whole of what it bears.
-bool cold_allows(Recent &sent, Time now, double units, double part, Time span) {
-    return sent.since(now - span) + units <= part;
+// all schedulers pushing it over, each taking the whole of what it bears. A part below the largest task would
+// leave the node idle, so there tasks go by lot, each with the chance at which, by what was asked of us over a
+// longer time, the part is met in the mean: it is their sum that the node feels.
+bool cold_allows(double sent, double units, double part, double largest, double asked_in_span, double lot) {
+    return part >= largest ? sent + units <= part : sent == 0 && lot * asked_in_span <= part;
 }
 
 // ---- The window: how many shots this scheduler has out at one node.
@@ -378,8 +380,8 @@
         further_.taken.add(now, 1), further_.taken.since(now - further_.span);
         Task &t = tasks_[id];
         t.id = id, t.workload = workload, t.volume = volume, t.plan = plan, t.shard = shard, t.key = key;
-        t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now,
-        t.repeated = repeated;
+        t.units = std::max(units, 0.0), t.hosts = std::max(hosts, 1.0), t.writes = writes, t.taken = now;
+        t.repeated = repeated, t.lot = static_cast<double>(chance_()) / chance_.max();
         // Two steps early, so that the batch in which the answer leaves comes before the client is gone.
         t.last_call = client_timeout - 2 * step_;
         t.due = t.first_due = std::min(now + workloads_[workload].due, t.last_call);
@@ -552,6 +554,8 @@
     void enter(Node &node, Task &t) {
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units;
+        if (t.shots.empty())
+            node.asked.add(now_, t.units), node.asked.since(now_ - long_run);
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
     }
     // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
@@ -634,6 +638,7 @@
             give_up(it->second, longest_wait_), forget_if_done(it);
         }
     }
+    static constexpr Time long_run = 20 * sec; // one task in ten seconds shows in it; surges come and go
     // Our even part of what the node bears: at its start the stated units, then more, as its capacity grows
     // from the stated part of the whole evenly or faster. A silent node may start at any moment.
     double cold_part(const Node &node) const {
@@ -646,11 +651,12 @@
         if (now_ < node.hold_until)
             return false;
         if (node.silent) {
-            // Trial shots, one at a time, the schedulers taking turns by their numbers.
-            constexpr Time turn =
-                250 * ms; // long enough for a trial to be answered before the next one's turn
+            // Trial shots, one at a time, the schedulers taking turns by their numbers: long enough for a
+            // trial to be answered before the next one's turn, but all within what a client waits.
+            constexpr Time trial = 250 * ms, round = 2 * sec;
+            Time turn = std::min<Time>(trial, round / schedulers_);
             bool mine = static_cast<std::uint64_t>(now_ / turn) % schedulers_ == self_.value;
-            if (!mine || now_ - node.last_trial < turn)
+            if (!mine || now_ - node.last_trial < trial)
                 return false;
         }
         if (!node.silent && !is_cold(node))
@@ -658,7 +664,10 @@
         // Just started, we have forgotten what we sent. Below: what leaves may arrive a step later.
         if (now_ < born_ + cold_span_)
             return false;
-        return cold_units_ <= 0 || cold_allows(node.sent, now_, t.units, cold_part(node), cold_span_ + step_);
+        Time span = cold_span_ + step_, over = std::min(long_run, now_ - born_);
+        double asked = node.asked.since(now_ - over) * seconds(span) / seconds(over);
+        return cold_units_ <= 0 || cold_allows(node.sent.since(now_ - span), t.units, cold_part(node),
+                                               largest_, asked, t.lot);
     }
 
     // ---- Shots.
