--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -24,7 +24,7 @@
     std::set<Time> ghosts;   // when shots were sent that ended unanswered: their work may still be there
     std::size_t overdue = 0; // of those out, when last looked at
     double units_waiting = 0, units_out = 0;
-    Time heard = 0, last_trial = 0, hold_until = 0;
+    Time heard = 0, last_shot = 0, hold_until = 0;
     Time lost = -1'000'000 * sec; // when a shot was last found lost
     Time overtaken = 0;           // when the last sent of those answered was sent
     bool silent = false, refused = false;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -100,25 +100,33 @@
 class Window {
   public:
     static constexpr double floor = 4, ceiling = 32; // the design's
-    static constexpr std::size_t lately =
-        8; // answers that make one reading: fewer swing with the tasks' own costs
+    // Answers that make one reading: fewer swing with the tasks' own costs. Old ones tell of another load.
+    static constexpr std::size_t lately = 8;
+    static constexpr Time fresh = 2 * sec;
     // The floor is the node's: schedulers share it, as they share limits. Each with the whole of it, eight of
     // them would keep 32 shots at a node of four slots, late whatever the order.
-    explicit Window(std::uint32_t schedulers) : floor_(std::max(1.0, floor / schedulers)), size_(floor_) {}
-    bool open(std::size_t out) const { return static_cast<double>(out) < std::floor(size_); }
+    explicit Window(std::uint32_t schedulers) : floor_(floor / schedulers), size_(std::max(1.0, floor_)) {}
+    // Below one it paces: a shot, then a rest, so that in the mean no more than the window is out.
+    bool open(std::size_t out, Time since_last, Time expected) const {
+        return size_ >= 1 ? static_cast<double>(out) < std::floor(size_)
+                          : out == 0 && static_cast<double>(since_last) * size_ >= static_cast<double>(expected);
+    }
     double size() const { return size_; }
-    // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best.
+    // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best;
+    // doubles at most.
     void answered(Time now, double units, Time took) {
-        took_.add({units, seconds(took)});
-        double u = 0, t = 0;
-        for (auto &[au, at] : took_)
-            u += au, t += at;
-        double reading = t / u;
+        took_.add({now, units, seconds(took)});
+        double u = 0, t = 0, fresh_u = 0, fresh_t = 0;
+        for (auto &[at, au, s] : took_) {
+            u += au, t += s;
+            if (at > now - fresh)
+                fresh_u += au, fresh_t += s;
+        }
         if (took_.size() < lately)
             return;
-        best_.add(reading);
-        if (reading < 2 * best_.quantile(0))
-            size_ = std::min(ceiling, size_ + 1 / size_);
+        best_.add(t / u);
+        if (fresh_t / fresh_u < 2 * best_.quantile(0))
+            size_ = std::min(ceiling, size_ + std::min(size_, 1 / size_));
         else
             halve(now, took);
     }
@@ -132,7 +140,7 @@
   private:
     double floor_, size_;
     Time halved_ = 0;
-    Samples<std::pair<double, double>, lately> took_;
+    Samples<std::tuple<Time, double, double>, lately> took_;
     Samples<double, 256> best_; // recent: a few seconds of answers on a busy node
 };
 
@@ -598,7 +606,9 @@
             bool spare =
                 now_ < node.lost + 2 * sec; // where shots get lost, one more: the last loss is that near
             std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
-            if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare) || !gates_open(node, t))
+            if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare, now_ - node.last_shot,
+                                  node.expected(t.units)) ||
+                !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
             shoot(node, t);
@@ -631,7 +641,7 @@
             }
         // A repeat earns a late answer's part at most: where first tries wait, it makes room for them. Guards
         // against a retry storm in which everybody is served late.
-        if (!node.window.open(node.out.size() - node.overdue) && firsts > 0)
+        if (!node.window.open(node.out.size() - node.overdue, 0, 1) && firsts > 0)
             late.insert(late.end(), repeats.begin(), repeats.end());
         for (auto id : late) {
             auto it = tasks_.find(id);
@@ -656,7 +666,7 @@
             constexpr Time trial = 250 * ms, round = 2 * sec;
             Time turn = std::min<Time>(trial, round / schedulers_);
             bool mine = static_cast<std::uint64_t>(now_ / turn) % schedulers_ == self_.value;
-            if (!mine || now_ - node.last_trial < trial)
+            if (!mine || now_ - node.last_shot < trial)
                 return false;
         }
         if (!node.silent && !is_cold(node))
@@ -676,8 +686,7 @@
             further_.shots.add(now_, 1);
         else if (t.passed_limit)
             limits_.at(t.volume).sent(t.units);
-        if (node.silent)
-            node.last_trial = now_;
+        node.last_shot = now_;
         node.sent.add(now_, t.units), node.sent.since(now_ - cold_span_ - step_);
         node.units_waiting -= t.units, node.units_out += t.units;
         if (node.out.empty())
