Weight the rest of a window below one by plan

Schedulers that meet at a node keep the plans' weights among each other, too, where each has little waiting.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -106,10 +106,11 @@
     // The floor is the node's: schedulers share it, as they share limits. Each with the whole of it, eight of
     // them would keep 32 shots at a node of four slots, late whatever the order.
     explicit Window(std::uint32_t schedulers) : floor_(floor / schedulers), size_(std::max(1.0, floor_)) {}
-    // Below one it paces: a shot, then a rest, so that in the mean no more than the window is out.
-    bool open(std::size_t out, Time since_last, Time expected) const {
+    // Below one it paces: a shot, then a rest, the shorter the more the volume weighs against the mean of
+    // the plans: schedulers that meet at a node keep the weights among each other so, too.
+    bool open(std::size_t out, Time since_last, Time expected, double weighs) const {
         return size_ >= 1 ? static_cast<double>(out) < std::floor(size_)
-                          : out == 0 && static_cast<double>(since_last) * size_ >= static_cast<double>(expected);
+                          : out == 0 && seconds(since_last) * size_ * weighs >= seconds(expected);
     }
     double size() const { return size_; }
     // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best;
@@ -559,6 +560,12 @@
     double weight(const Plan &plan) const {
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
+    double mean_weight() const {
+        double sum = 0;
+        for (auto &[id, plan] : plans_)
+            sum += weight(plan);
+        return sum / static_cast<double>(plans_.size());
+    }
     void enter(Node &node, Task &t) {
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units;
@@ -607,7 +614,7 @@
                 now_ < node.lost + 2 * sec; // where shots get lost, one more: the last loss is that near
             std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
             if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare, now_ - node.last_shot,
-                                  node.expected(t.units)) ||
+                                  node.expected(t.units), weight(plans_[t.plan]) / mean_weight()) ||
                 !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
@@ -641,7 +648,7 @@
             }
         // A repeat earns a late answer's part at most: where first tries wait, it makes room for them. Guards
         // against a retry storm in which everybody is served late.
-        if (!node.window.open(node.out.size() - node.overdue, 0, 1) && firsts > 0)
+        if (!node.window.open(node.out.size() - node.overdue, 0, 1, 1) && firsts > 0)
             late.insert(late.end(), repeats.begin(), repeats.end());
         for (auto id : late) {
             auto it = tasks_.find(id);
