--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -715,6 +715,8 @@
             node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took);
+            if (took > node.expected(std::max(t.units, 1.0)))
+                node.unit_time.add(seconds(took) / std::max(t.units, 1.0));
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken)
                 node.lost = now_; // others were answered meanwhile
         }
