Expect by fresh answers, other nodes' before the first; look only at nodes in use

Cause: with an answer every few seconds, the middle of the last 32 is a minute old; a jam was seen too late or for too long. With the nodes in use, a shard index and the ready list kept, a task costs 6.2 us there, 21.7 before.

--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -29,7 +29,8 @@
     Time overtaken = 0;           // when the last sent of those answered was sent
     bool silent = false, refused = false;
     Samples<Time, 32> took;        // of the last answers
-    Samples<double, 32> unit_time; // the same by units, in seconds
+    Samples<std::pair<Time, double>, 32> unit_time; // when, and the same by units, in seconds
+    double expected_unit = 0;                       // from these, when last looked at
 };
 
 } // namespace knotvane
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -272,10 +272,20 @@
     }
     Window window;
     Volumes volumes;
-    // What a task is expected to take there once sent: the middle of the last answers, by units. The quick
-    // quarter sent too much that came late; the slow fifth denied too much where nodes are slow and due times
-    // short.
-    Time expected(double units) const { return static_cast<Time>(unit_time.quantile(0.5) * units * 1e9); }
+    // What a task is expected to take there once sent: by units, the middle of the answers of the last two
+    // seconds and of one more: the middle of the last 32, however old. So a lone answer, which may tell of its
+    // own cost only, moves nothing, and two tell of a jam. Before the first answer the other nodes' serves.
+    void reckon(Time now, double others) {
+        Samples<double, 32> all, lately;
+        for (auto &[at, each] : unit_time) {
+            all.add(each);
+            if (at > now - 2 * sec)
+                lately.add(each);
+        }
+        lately.add(all.empty() ? others : all.quantile(0.5));
+        expected_unit = lately.quantile(0.5);
+    }
+    Time expected(double units) const { return static_cast<Time>(expected_unit * units * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
     // disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
@@ -370,11 +380,18 @@
         }
     }
     void list_ends() override {
+        ready_.clear(), holds_.clear();
         for (auto &[id, node] : nodes_) {
             if (whole_ && !node.listed) // a whole list that leaves a node out has removed it
                 node.state = NodeState::gone;
-            if (node.state != NodeState::ready)
+            if (node.state != NodeState::ready) {
                 empty_queue(node);
+                continue;
+            }
+            ready_.push_back(&node);
+            Node *&holder = holds_[node.shard]; // a node that replaces another holds its shard too
+            if (!holder || holder->started <= node.started)
+                holder = &node;
         }
     }
     void list_failed(Time now) override {
@@ -451,8 +468,11 @@
             give_up(it->second, 0), forget_if_done(it);
         }
         advance();
-        for (auto &[id, node] : nodes_)
+        for (auto it = busy_.begin(); it != busy_.end();) {
+            Node &node = nodes_.at(*it);
             serve(node);
+            it = node.out.empty() && node.units_waiting < 1e-9 ? busy_.erase(it) : std::next(it);
+        }
         turns_.prune(now);
         constexpr Time come_again = 4 * sec; // past the longest wait that clients keep to, and their own
         if (unanswered_.size() > 4096)       // no need to look at each moment
@@ -537,22 +557,19 @@
     }
     // The node that holds the task's shard; for a new object the better of two drawn by what we have there.
     Node *place(const Task &t) {
-        std::vector<Node *> fit;
-        for (auto &[id, node] : nodes_)
-            if (node.state == NodeState::ready && (t.shard == no_shard || node.shard == t.shard))
-                fit.push_back(&node);
-        if (fit.empty())
+        if (t.shard != no_shard) {
+            auto it = holds_.find(t.shard);
+            return it == holds_.end() ? nullptr : it->second;
+        }
+        if (ready_.empty())
             return nullptr;
-        if (t.shard != no_shard) // a node that replaces another holds its shard too: the youngest counts
-            return *std::max_element(fit.begin(), fit.end(),
-                                     [](auto *a, auto *b) { return a->started < b->started; });
-        Node *a = fit[chance_() % fit.size()], *b = fit[chance_() % fit.size()];
+        Node *a = ready_[chance_() % ready_.size()], *b = ready_[chance_() % ready_.size()];
         return cost(*b) < cost(*a) ? b : a;
     }
     // Our own counts: the time that what we have waiting and out there takes; a silent or cold node comes
     // last.
     double cost(const Node &n) const {
-        return (1 + n.units_waiting + n.units_out) * n.unit_time.quantile(0.5) + (n.silent ? 1e9 : 0) +
+        return (1 + n.units_waiting + n.units_out) * n.expected_unit + (n.silent ? 1e9 : 0) +
                (is_cold(n) ? 1e6 : 0);
     }
     // Share, and reserve at what a unit inside it earns over one inside the share: what earns most is served
@@ -568,7 +585,7 @@
     }
     void enter(Node &node, Task &t) {
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
-        node.units_waiting += t.units;
+        node.units_waiting += t.units, busy_.insert(node.id);
         if (t.shots.empty())
             node.asked.add(now_, t.units), node.asked.since(now_ - long_run);
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
@@ -593,6 +610,9 @@
         if (node.state != NodeState::ready)
             return;
         watch(node);
+        if (node.units_waiting < 1e-9)
+            return;
+        node.reckon(now_, unit_time_.quantile(0.5));
         drop_late(node);
         while (auto v = node.volumes.choose(now_)) {
             Task &t = tasks_.at(std::get<TaskId>(*node.volumes.lines().at(*v).tasks.begin()));
@@ -716,7 +736,7 @@
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took);
             if (took > node.expected(std::max(t.units, 1.0)))
-                node.unit_time.add(seconds(took) / std::max(t.units, 1.0));
+                node.unit_time.add({now_, seconds(took) / std::max(t.units, 1.0)});
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken)
                 node.lost = now_; // others were answered meanwhile
         }
@@ -731,7 +751,8 @@
         }
         if (how == Outcome::answered) {
             node.took.add(took);
-            node.unit_time.add(seconds(took) / std::max(t.units, 1.0));
+            node.unit_time.add({now_, seconds(took) / std::max(t.units, 1.0)});
+            unit_time_.add(seconds(took) / std::max(t.units, 1.0));
             node.window.answered(now_, std::max(t.units, 1.0), took);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
@@ -780,12 +801,8 @@
             at = std::min(at, calls_.begin()->first);
         if (!moving_.empty())
             at = std::min(at, now_ + look);
-        for (auto &[id, node] : nodes_) {
-            if (node.units_waiting > 1e-9)
-                at = std::min(at, now_ + look);
-            if (!node.out.empty())
-                at = std::min(at, now_ + watch_out);
-        }
+        for (auto id : busy_)
+            at = std::min(at, now_ + (nodes_.at(id).units_waiting > 1e-9 ? look : watch_out));
         if (at >= next_alarm_)
             return;
         next_alarm_ = at;
@@ -805,11 +822,15 @@
     std::map<PlanId, Plan> plans_;
     std::map<TaskId, Task> tasks_;
     std::map<NodeId, Node> nodes_;
+    std::vector<Node *> ready_;
+    std::map<ShardId, Node *> holds_; // the youngest ready node of each shard
+    std::set<NodeId> busy_;           // with something waiting or out
     std::set<TaskId> moving_;                 // in turn, limit or placement
     std::set<std::pair<Time, TaskId>> calls_; // every task that is owed an answer, by its last call
     std::map<VolumeId, LimitPart> limits_;
     Samples<std::pair<Time, Time>, 32> left_; // clients who left early: when, and after how long
     std::map<Alike, Time> unanswered_; // tasks ended without an answer, and when their first try was due
+    Samples<double, 64> unit_time_; // of the last answers of all nodes
     Turns turns_;
     FurtherShots further_;
 };
