--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "core/samples.hpp"
@@ -29,8 +30,8 @@
     Time overtaken = 0;           // when the last sent of those answered was sent
     bool silent = false, refused = false;
     Samples<Time, 32> took;        // of the last answers
-    Samples<std::pair<Time, double>, 32> unit_time; // when, and the same by units, in seconds
-    double expected_unit = 0;                       // from these, when last looked at
+    Samples<std::tuple<Time, double, double>, 32> answers; // when, units, and how long it took in seconds
+    double unit = 0, wait = 0;                             // seconds, from these, when last looked at
 };
 
 } // namespace knotvane
--- a/src/core/task.hpp
+++ b/src/core/task.hpp
@@ -23,7 +23,7 @@
 };
 
 struct Plan {
-    double weight = 1, reserve = 0, limit_rate = 0, limit_burst = 0;
+    double weight = 1, usual = 0, reserve = 0, price = 1, limit_rate = 0, limit_burst = 0;
 };
 
 struct Shot {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -272,20 +272,25 @@
     }
     Window window;
     Volumes volumes;
-    // What a task is expected to take there once sent: by units, the middle of the answers of the last two
-    // seconds and of one more: the middle of the last 32, however old. So a lone answer, which may tell of its
-    // own cost only, moves nothing, and two tell of a jam. Before the first answer the other nodes' serves.
-    void reckon(Time now, double others) {
-        Samples<double, 32> all, lately;
-        for (auto &[at, each] : unit_time) {
-            all.add(each);
-            if (at > now - 2 * sec)
-                lately.add(each);
+    // What a task is expected to take there once sent: its units at the quick quarter of times per unit, here or
+    // before there are enough answers elsewhere, and the wait: what answers took beyond that, in the middle of
+    // the last two seconds' and of one more, the middle of the last 32, however old. So a lone answer, which
+    // may tell of its own cost only, moves nothing, and two tell of a jam.
+    void reckon(Time now, double elsewhere) {
+        Samples<double, 32> each, all, lately;
+        for (auto &[at, units, took] : answers)
+            each.add(took / units);
+        unit = each.size() < Window::lately ? elsewhere : each.quantile(0.25);
+        for (auto &[at, units, took] : answers) {
+            double wait = std::max(0.0, took - units * unit);
+            all.add(wait);
+            if (seconds(now - at) < 0.25 + took)
+                lately.add(wait);
         }
-        lately.add(all.empty() ? others : all.quantile(0.5));
-        expected_unit = lately.quantile(0.5);
+        lately.add(all.quantile(0.5));
+        wait = lately.quantile(0.5);
     }
-    Time expected(double units) const { return static_cast<Time>(expected_unit * units * 1e9); }
+    Time expected(double units) const { return static_cast<Time>((wait + unit * units) * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
     // disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
@@ -334,14 +339,16 @@
     void set_turns(WorkloadId id, Time key_rest) override {
         workloads_[id].in_turn = true, workloads_[id].key_rest = key_rest;
     }
-    void add_plan(PlanId id, double weight, double usual, double reserve, double) override {
+    void add_plan(PlanId id, double weight, double usual, double reserve, double price) override {
         plans_[id].weight = std::max(weight, 1e-6), plans_[id].reserve = reserve;
+        plans_[id].usual = usual, plans_[id].price = price;
         shares_ += weight, usual_ += usual;
     }
     void set_limit(PlanId id, double rate, double burst) override {
         plans_[id].limit_rate = rate, plans_[id].limit_burst = burst;
     }
-    void set_units(double, double largest, double share_worth, double) override {
+    void set_units(double, double largest, double share_worth, double spare_worth) override {
+        spare_worth_ = spare_worth;
         largest_ = std::max(1.0, largest);
         share_worth_ = share_worth > 0 ? share_worth : 1;
     }
@@ -569,7 +576,7 @@
     // Our own counts: the time that what we have waiting and out there takes; a silent or cold node comes
     // last.
     double cost(const Node &n) const {
-        return (1 + n.units_waiting + n.units_out) * n.expected_unit + (n.silent ? 1e9 : 0) +
+        return n.wait + (1 + n.units_waiting + n.units_out) * n.unit + (n.silent ? 1e9 : 0) +
                (is_cold(n) ? 1e6 : 0);
     }
     // Share, and reserve at what a unit inside it earns over one inside the share: what earns most is served
@@ -577,17 +584,26 @@
     double weight(const Plan &plan) const {
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
-    double mean_weight() const {
-        double sum = 0;
+    // What a unit is worth in the mean where a volume asks that much in all: what the reserve holds in full, up
+    // to the size it was planned for as its share, the rest as spare. Price counts, as it does for the users.
+    double worth(const Plan &p, double asked) const {
+        double reserve = std::min(asked, p.reserve), share = std::min(asked, std::max(p.usual, p.reserve)) - reserve;
+        return p.price * (reserve + share_worth_ * share + spare_worth_ * (asked - reserve - share)) / asked;
+    }
+    // A task's worth against the mean of the plans, by what was lately asked of us for its volume and by how
+    // many ask. A surge weighs little, wherever it comes through.
+    double weighs(const Task &t) {
+        double asked = asked_[t.volume].since(now_ - lately) / seconds(lately), sum = 0;
         for (auto &[id, plan] : plans_)
-            sum += weight(plan);
-        return sum / static_cast<double>(plans_.size());
+            sum += worth(plan, std::max(plan.usual, 1e-6));
+        return worth(plans_[t.plan], std::max(asked * t.hosts, 1e-6)) * static_cast<double>(plans_.size()) / sum;
     }
+    static constexpr Time lately = 5 * sec; // surges last longer; a task each ten seconds shows in it at times
     void enter(Node &node, Task &t) {
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units, busy_.insert(node.id);
         if (t.shots.empty())
-            node.asked.add(now_, t.units), node.asked.since(now_ - long_run);
+            asked_[t.volume].add(now_, t.units), node.asked.add(now_, t.units), node.asked.since(now_ - long_run);
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
     }
     // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
@@ -612,7 +628,7 @@
         watch(node);
         if (node.units_waiting < 1e-9)
             return;
-        node.reckon(now_, unit_time_.quantile(0.5));
+        node.reckon(now_, unit_time_.quantile(0.25));
         drop_late(node);
         while (auto v = node.volumes.choose(now_)) {
             Task &t = tasks_.at(std::get<TaskId>(*node.volumes.lines().at(*v).tasks.begin()));
@@ -634,7 +650,7 @@
                 now_ < node.lost + 2 * sec; // where shots get lost, one more: the last loss is that near
             std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
             if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare, now_ - node.last_shot,
-                                  node.expected(t.units), weight(plans_[t.plan]) / mean_weight()) ||
+                                  node.expected(t.units), weighs(t)) ||
                 !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
@@ -736,7 +752,7 @@
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took);
             if (took > node.expected(std::max(t.units, 1.0)))
-                node.unit_time.add({now_, seconds(took) / std::max(t.units, 1.0)});
+                node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken)
                 node.lost = now_; // others were answered meanwhile
         }
@@ -751,7 +767,7 @@
         }
         if (how == Outcome::answered) {
             node.took.add(took);
-            node.unit_time.add({now_, seconds(took) / std::max(t.units, 1.0)});
+            node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             unit_time_.add(seconds(took) / std::max(t.units, 1.0));
             node.window.answered(now_, std::max(t.units, 1.0), took);
         } else if (how == Outcome::full) {
@@ -815,7 +831,7 @@
     std::uint32_t schedulers_ = 1, most_shots_ = 1;
     Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
     Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
-    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1, start_part_ = 1;
+    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1, spare_worth_ = 0, start_part_ = 1;
     bool parallel_ = false, marked_ = false, may_call_off_ = false, on_request_ = false, whole_ = false,
          refuse_ = false;
     std::map<WorkloadId, Workload> workloads_;
@@ -831,6 +847,7 @@
     Samples<std::pair<Time, Time>, 32> left_; // clients who left early: when, and after how long
     std::map<Alike, Time> unanswered_; // tasks ended without an answer, and when their first try was due
     Samples<double, 64> unit_time_; // of the last answers of all nodes
+    std::map<VolumeId, Recent> asked_; // units, by volume
     Turns turns_;
     FurtherShots further_;
 };
