Expect no wait where no answer is fresh; take an overtaken shot for lost, not for a jam

Cause: where answers are rare, the middle of old ones shunned a node for good: all was denied on arrival, so nothing new was learnt.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -64,8 +64,7 @@
         at_ = now;
         if (units > level_)
             return false;
-        level_ -= units;
-        set_aside_ += units;
+        level_ -= units, set_aside_ += units;
         return true;
     }
     void sent(double units) { set_aside_ -= units; }
@@ -194,8 +193,7 @@
     void sent(Rank task, double units, double charge) {
         double weights = 0;
         for (auto &[v, line] : lines_)
-            if (!line.tasks.empty())
-                weights += line.weight;
+            weights += line.tasks.empty() ? 0 : line.weight;
         virtual_time_ += charge / weights;
         Line &line = lines_[*serving_];
         line.tasks.erase(task);
@@ -241,15 +239,10 @@
         // After a timeout the finish tag stands at the whole budget; else it tells what was really charged.
         double charged = why == Stop::timed_out ? std::max(charged_, line.budget) : charged_;
         line.finish = line.start + charged / line.weight;
-        if (why == Stop::timed_out)
-            line.budget *= 2;
-        else if (why == Stop::exhausted)
-            line.budget *= 4;
-        else if (line.out > 0)
-            line.budget *= 2;
-        else
-            line.budget -= most / 8;
-        line.budget = std::clamp(line.budget, largest_, most);
+        double next = why == Stop::exhausted                      ? line.budget * 4
+                      : why == Stop::timed_out || line.out > 0 ? line.budget * 2
+                                                               : line.budget - most / 8;
+        line.budget = std::clamp(next, largest_, most);
         if (!line.tasks.empty()) {
             line.start = std::max(virtual_time_, line.finish);
             line.finish = line.start + line.budget / line.weight;
@@ -273,22 +266,18 @@
     Window window;
     Volumes volumes;
     // What a task is expected to take there once sent: its units at the quick quarter of times per unit, here or
-    // before there are enough answers elsewhere, and the wait: what answers took beyond that, in the middle of
-    // the last two seconds' and of one more, the middle of the last 32, however old. So a lone answer, which
-    // may tell of its own cost only, moves nothing, and two tell of a jam.
+    // before there are enough answers elsewhere, and the wait, the middle of what answers took beyond that. An
+    // answer tells of the wait for about as long as it took: after that the next task finds out. Guards against
+    // shunning a node for good by what it was, where answers are rare.
     void reckon(Time now, double elsewhere) {
-        Samples<double, 32> each, all, lately;
-        for (auto &[at, units, took] : answers)
-            each.add(took / units);
+        Samples<double, 32> each, waits;
+        for (auto &[at, units, secs] : answers)
+            each.add(secs / units);
         unit = each.size() < Window::lately ? elsewhere : each.quantile(0.25);
-        for (auto &[at, units, took] : answers) {
-            double wait = std::max(0.0, took - units * unit);
-            all.add(wait);
-            if (seconds(now - at) < 0.25 + took)
-                lately.add(wait);
-        }
-        lately.add(all.quantile(0.5));
-        wait = lately.quantile(0.5);
+        for (auto &[at, units, secs] : answers)
+            if (seconds(now - at) < 0.25 + secs) // a quarter second more, for a few answers to meet
+                waits.add(std::max(0.0, secs - units * unit));
+        wait = waits.quantile(0.5);
     }
     Time expected(double units) const { return static_cast<Time>((wait + unit * units) * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
@@ -329,12 +318,10 @@
     void set_place(PeerId self, std::uint32_t n, ZoneId) override { self_ = self, schedulers_ = n; }
     void set_clock(Time step, Time) override { step_ = std::max(step, ms); }
     void add_workload(WorkloadId id, Time due, Time, double value, double late_part) override {
-        auto &w = workloads_[id];
-        w.due = due, w.value = value, w.late_part = late_part;
+        workloads_[id].due = due, workloads_[id].value = value, workloads_[id].late_part = late_part;
     }
     void set_repeat(WorkloadId id, Repeat repeat, Group group, Time window) override {
-        auto &w = workloads_[id];
-        w.repeat = repeat, w.group = group, w.repeat_window = window;
+        workloads_[id].repeat = repeat, workloads_[id].group = group, workloads_[id].repeat_window = window;
     }
     void set_turns(WorkloadId id, Time key_rest) override {
         workloads_[id].in_turn = true, workloads_[id].key_rest = key_rest;
@@ -348,9 +335,8 @@
         plans_[id].limit_rate = rate, plans_[id].limit_burst = burst;
     }
     void set_units(double, double largest, double share_worth, double spare_worth) override {
+        largest_ = std::max(1.0, largest), share_worth_ = share_worth > 0 ? share_worth : 1;
         spare_worth_ = spare_worth;
-        largest_ = std::max(1.0, largest);
-        share_worth_ = share_worth > 0 ? share_worth : 1;
     }
     void set_shots(std::uint32_t most, bool parallel, bool may_call_off) override {
         most_shots_ = most, parallel_ = parallel, may_call_off_ = may_call_off;
@@ -362,8 +348,7 @@
     void set_clients(bool mark_repeats) override { marked_ = mark_repeats; }
     void set_list(bool ask, Time within, Time) override { on_request_ = ask, ask_within_ = within; }
     void set_cold(double units, Time span, Time warm_after, double start_part) override {
-        cold_units_ = units, cold_span_ = span, warm_after_ = warm_after;
-        start_part_ = start_part > 0 ? start_part : 1;
+        cold_units_ = units, cold_span_ = span, warm_after_ = warm_after, start_part_ = start_part > 0 ? start_part : 1;
     }
     void ready(Time now) override {
         born_ = now;
@@ -584,8 +569,8 @@
     double weight(const Plan &plan) const {
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
-    // What a unit is worth in the mean where a volume asks that much in all: what the reserve holds in full, up
-    // to the size it was planned for as its share, the rest as spare. Price counts, as it does for the users.
+    // What a unit is worth in the mean where a volume asks that much in all: the reserve in full, up to the size
+    // that it was planned for as share, the rest as spare.
     double worth(const Plan &p, double asked) const {
         double reserve = std::min(asked, p.reserve), share = std::min(asked, std::max(p.usual, p.reserve)) - reserve;
         return p.price * (reserve + share_worth_ * share + spare_worth_ * (asked - reserve - share)) / asked;
@@ -593,12 +578,12 @@
     // A task's worth against the mean of the plans, by what was lately asked of us for its volume and by how
     // many ask. A surge weighs little, wherever it comes through.
     double weighs(const Task &t) {
-        double asked = asked_[t.volume].since(now_ - lately) / seconds(lately), sum = 0;
+        double asked = asked_[t.volume].since(now_ - surge) / seconds(surge), sum = 0;
         for (auto &[id, plan] : plans_)
             sum += worth(plan, std::max(plan.usual, 1e-6));
         return worth(plans_[t.plan], std::max(asked * t.hosts, 1e-6)) * static_cast<double>(plans_.size()) / sum;
     }
-    static constexpr Time lately = 5 * sec; // surges last longer; a task each ten seconds shows in it at times
+    static constexpr Time surge = 5 * sec; // surges last longer; a task each ten seconds shows in it at times
     void enter(Node &node, Task &t) {
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units, busy_.insert(node.id);
@@ -609,16 +594,9 @@
     // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
     // answered.
     void empty_queue(Node &node) {
-        std::vector<TaskId> waiting;
-        for (auto &[v, line] : node.volumes.lines())
-            for (auto &[value, due, id] : line.tasks)
-                waiting.push_back(id);
-        for (auto id : waiting) {
-            Task &t = tasks_.at(id);
-            leave_stage(t);
-            t.stage = Stage::placement;
-            moving_.insert(id);
-        }
+        for (auto &[id, t] : tasks_)
+            if (t.stage == Stage::queue && t.node == node.id && !t.ended)
+                leave_stage(t), t.stage = Stage::placement, moving_.insert(id);
     }
 
     // ---- The node's volumes, and the gates.
@@ -743,15 +721,11 @@
         node.out.erase({t.shots[shot.value].sent, {t.id, shot}});
         node.units_out -= t.units;
         node.volumes.returned(t.volume);
-        if (how == Outcome::answered) {
-            node.overtaken = std::max(node.overtaken, t.shots[shot.value].sent);
-            node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(node.overtaken));
-        }
         if (how == Outcome::timed_out || how == Outcome::called_off) {
             node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took);
-            if (took > node.expected(std::max(t.units, 1.0)))
+            if (took > node.expected(std::max(t.units, 1.0)) && t.shots[shot.value].sent >= node.overtaken)
                 node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken)
                 node.lost = now_; // others were answered meanwhile
@@ -766,6 +740,8 @@
             node.heard = now_;
         }
         if (how == Outcome::answered) {
+            node.overtaken = std::max(node.overtaken, t.shots[shot.value].sent);
+            node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(node.overtaken));
             node.took.add(took);
             node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             unit_time_.add(seconds(took) / std::max(t.units, 1.0));
@@ -813,16 +789,11 @@
         // Waiting tasks are looked at each few milliseconds: the finest any gate here tells apart.
         constexpr Time look = 5 * ms, watch_out = 50 * ms;
         Time at = std::min(ask_at_, on_request_ ? heard_list_ + ask_within_ + ms : never);
-        if (!calls_.empty())
-            at = std::min(at, calls_.begin()->first);
-        if (!moving_.empty())
-            at = std::min(at, now_ + look);
+        at = std::min({at, calls_.empty() ? never : calls_.begin()->first, moving_.empty() ? never : now_ + look});
         for (auto id : busy_)
             at = std::min(at, now_ + (nodes_.at(id).units_waiting > 1e-9 ? look : watch_out));
-        if (at >= next_alarm_)
-            return;
-        next_alarm_ = at;
-        do_.set_alarm(AlarmId{1}, std::max<Time>(at - now_, 0));
+        if (at < next_alarm_)
+            do_.set_alarm(AlarmId{1}, std::max<Time>(at - now_, 0)), next_alarm_ = at;
     }
 
     Actions &do_;
