--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -575,13 +575,19 @@
         double reserve = std::min(asked, p.reserve), share = std::min(asked, std::max(p.usual, p.reserve)) - reserve;
         return p.price * (reserve + share_worth_ * share + spare_worth_ * (asked - reserve - share)) / asked;
     }
-    // A task's worth against the mean of the plans, by what was lately asked of us for its volume and by how
-    // many ask. A surge weighs little, wherever it comes through.
-    double weighs(const Task &t) {
-        double asked = asked_[t.volume].since(now_ - surge) / seconds(surge), sum = 0;
+    // The worth of all volumes that wait at a node against the mean of the plans, by what was lately asked of us
+    // for each and by how many ask. A surge weighs little, wherever it comes through.
+    double weighs(const Node &node) {
+        double all = 0, sum = 0;
         for (auto &[id, plan] : plans_)
             sum += worth(plan, std::max(plan.usual, 1e-6));
-        return worth(plans_[t.plan], std::max(asked * t.hosts, 1e-6)) * static_cast<double>(plans_.size()) / sum;
+        for (auto &[v, line] : node.volumes.lines())
+            if (!line.tasks.empty()) {
+                const Task &t = tasks_.at(std::get<TaskId>(*line.tasks.begin()));
+                double asked = asked_[v].since(now_ - surge) / seconds(surge);
+                all += worth(plans_[t.plan], std::max(asked * t.hosts, 1e-6));
+            }
+        return all * static_cast<double>(plans_.size()) / sum;
     }
     static constexpr Time surge = 5 * sec; // surges last longer; a task each ten seconds shows in it at times
     void enter(Node &node, Task &t) {
@@ -628,7 +634,7 @@
                 now_ < node.lost + 2 * sec; // where shots get lost, one more: the last loss is that near
             std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
             if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare, now_ - node.last_shot,
-                                  node.expected(t.units), weighs(t)) ||
+                                  node.expected(t.units), weighs(node)) ||
                 !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
