--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -109,7 +109,7 @@
     // the plans: schedulers that meet at a node keep the weights among each other so, too.
     bool open(std::size_t out, Time since_last, Time expected, double weighs) const {
         return size_ >= 1 ? static_cast<double>(out) < std::floor(size_)
-                          : out == 0 && seconds(since_last) * size_ * weighs >= seconds(expected);
+                          : out == 0 && seconds(since_last) * std::max(floor_, size_ * weighs) >= seconds(expected);
     }
     double size() const { return size_; }
     // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best;
@@ -278,6 +278,8 @@
             if (seconds(now - at) < 0.25 + secs) // a quarter second more, for a few answers to meet
                 waits.add(std::max(0.0, secs - units * unit));
         wait = waits.quantile(0.5);
+        if (each.size() == 32 && std::get<Time>(*answers.begin()) > now - 4 * sec)
+            wait = 0, unit = each.quantile(0.5);
     }
     Time expected(double units) const { return static_cast<Time>((wait + unit * units) * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
