--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -89,8 +89,8 @@
 
 // ---- Cold gate: whether a cold node still bears these units within this scheduler's part. Guards against
 // all schedulers pushing it over, each taking the whole of what it bears. A part below the largest task would
-// leave the node idle, so there tasks go by lot, each with the chance at which, by what was asked of us over a
-// longer time, the part is met in the mean: it is their sum that the node feels.
+// leave the node idle, so there tasks go by lot, each with the chance at which, by what was asked of us over
+// a longer time, the part is met in the mean: it is their sum that the node feels.
 bool cold_allows(double sent, double units, double part, double largest, double asked_in_span, double lot) {
     return part >= largest ? sent + units <= part : sent == 0 && lot * asked_in_span <= part;
 }
@@ -108,8 +108,9 @@
     // Below one it paces: a shot, then a rest, the shorter the more the volume weighs against the mean of
     // the plans: schedulers that meet at a node keep the weights among each other so, too.
     bool open(std::size_t out, Time since_last, Time expected, double weighs) const {
-        return size_ >= 1 ? static_cast<double>(out) < std::floor(size_)
-                          : out == 0 && seconds(since_last) * std::max(floor_, size_ * weighs) >= seconds(expected);
+        return size_ >= 1
+                   ? static_cast<double>(out) < std::floor(size_)
+                   : out == 0 && seconds(since_last) * std::max(floor_, size_ * weighs) >= seconds(expected);
     }
     double size() const { return size_; }
     // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best;
@@ -239,7 +240,7 @@
         // After a timeout the finish tag stands at the whole budget; else it tells what was really charged.
         double charged = why == Stop::timed_out ? std::max(charged_, line.budget) : charged_;
         line.finish = line.start + charged / line.weight;
-        double next = why == Stop::exhausted                      ? line.budget * 4
+        double next = why == Stop::exhausted                   ? line.budget * 4
                       : why == Stop::timed_out || line.out > 0 ? line.budget * 2
                                                                : line.budget - most / 8;
         line.budget = std::clamp(next, largest_, most);
@@ -265,21 +266,24 @@
     }
     Window window;
     Volumes volumes;
-    // What a task is expected to take there once sent: its units at the quick quarter of times per unit, here or
-    // before there are enough answers elsewhere, and the wait, the middle of what answers took beyond that. An
-    // answer tells of the wait for about as long as it took: after that the next task finds out. Guards against
-    // shunning a node for good by what it was, where answers are rare.
+    // What a task is expected to take there once sent: its units at the quick quarter of times per unit, here
+    // or before there are enough answers elsewhere, and the wait, the middle of what answers took beyond
+    // that. An answer tells of the wait for about as long as it took: after that the next task finds out.
+    // Guards against shunning a node for good by what it was, where answers are rare.
     void reckon(Time now, double elsewhere) {
-        Samples<double, 32> each, waits;
-        for (auto &[at, units, secs] : answers)
+        Samples<double, 32> each, recent, waits;
+        for (auto &[at, units, secs] : answers) {
             each.add(secs / units);
+            if (at > now - 4 * sec)
+                recent.add(secs / units);
+        }
         unit = each.size() < Window::lately ? elsewhere : each.quantile(0.25);
         for (auto &[at, units, secs] : answers)
             if (seconds(now - at) < 0.25 + secs) // a quarter second more, for a few answers to meet
                 waits.add(std::max(0.0, secs - units * unit));
         wait = waits.quantile(0.5);
-        if (each.size() == 32 && std::get<Time>(*answers.begin()) > now - 4 * sec)
-            wait = 0, unit = each.quantile(0.5);
+        if (recent.size() >= 8)
+            wait = 0, unit = recent.quantile(0.5);
     }
     Time expected(double units) const { return static_cast<Time>((wait + unit * units) * 1e9); }
     // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
@@ -350,7 +354,8 @@
     void set_clients(bool mark_repeats) override { marked_ = mark_repeats; }
     void set_list(bool ask, Time within, Time) override { on_request_ = ask, ask_within_ = within; }
     void set_cold(double units, Time span, Time warm_after, double start_part) override {
-        cold_units_ = units, cold_span_ = span, warm_after_ = warm_after, start_part_ = start_part > 0 ? start_part : 1;
+        cold_units_ = units, cold_span_ = span, warm_after_ = warm_after,
+        start_part_ = start_part > 0 ? start_part : 1;
     }
     void ready(Time now) override {
         born_ = now;
@@ -571,14 +576,15 @@
     double weight(const Plan &plan) const {
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
-    // What a unit is worth in the mean where a volume asks that much in all: the reserve in full, up to the size
-    // that it was planned for as share, the rest as spare.
+    // What a unit is worth in the mean where a volume asks that much in all: the reserve in full, up to the
+    // size that it was planned for as share, the rest as spare.
     double worth(const Plan &p, double asked) const {
-        double reserve = std::min(asked, p.reserve), share = std::min(asked, std::max(p.usual, p.reserve)) - reserve;
+        double reserve = std::min(asked, p.reserve),
+               share = std::min(asked, std::max(p.usual, p.reserve)) - reserve;
         return p.price * (reserve + share_worth_ * share + spare_worth_ * (asked - reserve - share)) / asked;
     }
-    // The worth of all volumes that wait at a node against the mean of the plans, by what was lately asked of us
-    // for each and by how many ask. A surge weighs little, wherever it comes through.
+    // The worth of all volumes that wait at a node against the mean of the plans, by what was lately asked of
+    // us for each and by how many ask. A surge weighs little, wherever it comes through.
     double weighs(const Node &node) {
         double all = 0, sum = 0;
         for (auto &[id, plan] : plans_)
@@ -596,7 +602,8 @@
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units, busy_.insert(node.id);
         if (t.shots.empty())
-            asked_[t.volume].add(now_, t.units), node.asked.add(now_, t.units), node.asked.since(now_ - long_run);
+            asked_[t.volume].add(now_, t.units), node.asked.add(now_, t.units),
+                node.asked.since(now_ - long_run);
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
     }
     // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
@@ -705,8 +712,8 @@
             return false;
         Time span = cold_span_ + step_, over = std::min(long_run, now_ - born_);
         double asked = node.asked.since(now_ - over) * seconds(span) / seconds(over);
-        return cold_units_ <= 0 || cold_allows(node.sent.since(now_ - span), t.units, cold_part(node),
-                                               largest_, asked, t.lot);
+        return cold_units_ <= 0 ||
+               cold_allows(node.sent.since(now_ - span), t.units, cold_part(node), largest_, asked, t.lot);
     }
 
     // ---- Shots.
@@ -797,7 +804,8 @@
         // Waiting tasks are looked at each few milliseconds: the finest any gate here tells apart.
         constexpr Time look = 5 * ms, watch_out = 50 * ms;
         Time at = std::min(ask_at_, on_request_ ? heard_list_ + ask_within_ + ms : never);
-        at = std::min({at, calls_.empty() ? never : calls_.begin()->first, moving_.empty() ? never : now_ + look});
+        at = std::min(
+            {at, calls_.empty() ? never : calls_.begin()->first, moving_.empty() ? never : now_ + look});
         for (auto id : busy_)
             at = std::min(at, now_ + (nodes_.at(id).units_waiting > 1e-9 ? look : watch_out));
         if (at < next_alarm_)
@@ -810,7 +818,8 @@
     std::uint32_t schedulers_ = 1, most_shots_ = 1;
     Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
     Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
-    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1, spare_worth_ = 0, start_part_ = 1;
+    double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1, spare_worth_ = 0,
+           start_part_ = 1;
     bool parallel_ = false, marked_ = false, may_call_off_ = false, on_request_ = false, whole_ = false,
          refuse_ = false;
     std::map<WorkloadId, Workload> workloads_;
@@ -818,14 +827,14 @@
     std::map<TaskId, Task> tasks_;
     std::map<NodeId, Node> nodes_;
     std::vector<Node *> ready_;
-    std::map<ShardId, Node *> holds_; // the youngest ready node of each shard
-    std::set<NodeId> busy_;           // with something waiting or out
+    std::map<ShardId, Node *> holds_;         // the youngest ready node of each shard
+    std::set<NodeId> busy_;                   // with something waiting or out
     std::set<TaskId> moving_;                 // in turn, limit or placement
     std::set<std::pair<Time, TaskId>> calls_; // every task that is owed an answer, by its last call
     std::map<VolumeId, LimitPart> limits_;
     Samples<std::pair<Time, Time>, 32> left_; // clients who left early: when, and after how long
     std::map<Alike, Time> unanswered_; // tasks ended without an answer, and when their first try was due
-    Samples<double, 64> unit_time_; // of the last answers of all nodes
+    Samples<double, 64> unit_time_;    // of the last answers of all nodes
     std::map<VolumeId, Recent> asked_; // units, by volume
     Turns turns_;
     FurtherShots further_;
