--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -62,8 +62,7 @@
         hosts_ = std::max(hosts_, hosts);
         level_ = std::min(level_ + rate_ / hosts_ * seconds(now - at_), burst_ / hosts_ - set_aside_);
         at_ = now;
-        if (units > level_)
-            return false;
+        if (units > level_) return false;
         level_ -= units, set_aside_ += units;
         return true;
     }
@@ -120,11 +119,9 @@
         double u = 0, t = 0, fresh_u = 0, fresh_t = 0;
         for (auto &[at, au, s] : took_) {
             u += au, t += s;
-            if (at > now - fresh)
-                fresh_u += au, fresh_t += s;
+            if (at > now - fresh) fresh_u += au, fresh_t += s;
         }
-        if (took_.size() < lately)
-            return;
+        if (took_.size() < lately) return;
         best_.add(t / u);
         if (fresh_t / fresh_u < 2 * best_.quantile(0))
             size_ = std::min(ceiling, size_ + std::min(size_, 1 / size_));
@@ -132,8 +129,7 @@
             halve(now, took);
     }
     void halve(Time now, Time round_trip) {
-        if (now < halved_ + round_trip)
-            return;
+        if (now < halved_ + round_trip) return;
         halved_ = now;
         size_ = std::max(floor_, size_ / 2);
     }
@@ -165,8 +161,7 @@
     void add(VolumeId v, double weight, Rank task) {
         auto [it, is_new] = lines_.try_emplace(v);
         Line &line = it->second;
-        if (is_new)
-            line.budget = std::max(largest_, max_budget() / 2);
+        if (is_new) line.budget = std::max(largest_, max_budget() / 2);
         line.weight = weight;
         if (line.tasks.empty() && serving_ != v) {
             line.start = std::max(virtual_time_, line.finish);
@@ -175,14 +170,11 @@
         line.tasks.insert(task);
     }
     void remove(VolumeId v, Rank task) { lines_[v].tasks.erase(task); }
-    // The volume whose task goes next, none if nothing waits. Ends turns that are over.
+    // The volume whose task goes next, none if nothing waits; ends turns that are over.
     std::optional<VolumeId> choose(Time now) {
-        if (serving_ && lines_[*serving_].tasks.empty())
-            stop(now, Stop::emptied);
-        if (serving_ && now - began_ >= slice)
-            stop(now, Stop::timed_out);
-        if (!serving_)
-            select(now);
+        if (serving_ && lines_[*serving_].tasks.empty()) stop(now, Stop::emptied);
+        if (serving_ && now - began_ >= slice) stop(now, Stop::timed_out);
+        if (!serving_) select(now);
         return serving_;
     }
     static double charge_of(double units, bool writes) { return writes ? write_charge * units : units; }
@@ -193,8 +185,7 @@
     void exhaust(Time now) { stop(now, Stop::exhausted); }
     void sent(Rank task, double units, double charge) {
         double weights = 0;
-        for (auto &[v, line] : lines_)
-            weights += line.tasks.empty() ? 0 : line.weight;
+        for (auto &[v, line] : lines_) weights += line.tasks.empty() ? 0 : line.weight;
         virtual_time_ += charge / weights;
         Line &line = lines_[*serving_];
         line.tasks.erase(task);
@@ -221,10 +212,8 @@
         Line *least = nullptr;
         double least_start = std::numeric_limits<double>::infinity();
         for (auto &[v, line] : lines_)
-            if (!line.tasks.empty())
-                least_start = std::min(least_start, line.start);
-        if (least_start == std::numeric_limits<double>::infinity())
-            return;
+            if (!line.tasks.empty()) least_start = std::min(least_start, line.start);
+        if (least_start == std::numeric_limits<double>::infinity()) return;
         virtual_time_ = std::max(virtual_time_, least_start);
         for (auto &[v, line] : lines_)
             if (!line.tasks.empty() && line.start <= virtual_time_ && (!least || line.finish < least->finish))
@@ -255,15 +244,12 @@
     std::map<VolumeId, Line> lines_;
     std::optional<VolumeId> serving_;
     Time began_ = 0;
-    Samples<std::pair<double, bool>, 32>
-        turns_; // 32 turns: past that the filter's weight is under a fiftieth
+    Samples<std::pair<double, bool>, 32> turns_; // past 32 the filter's weight is under a fiftieth
 };
 
 // ---- A node, as this scheduler sees it.
 struct Node : NodeSeen {
-    Node(NodeId i, std::uint32_t schedulers, double largest) : window(schedulers), volumes(largest) {
-        id = i;
-    }
+    Node(NodeId i, std::uint32_t n, double largest) : window(n), volumes(largest) { id = i; }
     Window window;
     Volumes volumes;
     // What a task is expected to take there once sent: its units at the quick quarter of times per unit, here
@@ -274,20 +260,17 @@
         Samples<double, 32> each, recent, waits;
         for (auto &[at, units, secs] : answers) {
             each.add(secs / units);
-            if (at > now - 4 * sec)
-                recent.add(secs / units);
+            if (at > now - 4 * sec) recent.add(secs / units);
         }
         unit = each.size() < Window::lately ? elsewhere : each.quantile(0.25);
         for (auto &[at, units, secs] : answers)
             if (seconds(now - at) < 0.25 + secs) // a quarter second more, for a few answers to meet
                 waits.add(std::max(0.0, secs - units * unit));
         wait = waits.quantile(0.5);
-        if (recent.size() >= 8)
-            wait = 0, unit = recent.quantile(0.5);
+        if (recent.size() >= 8) wait = 0, unit = recent.quantile(0.5);
     }
     Time expected(double units) const { return static_cast<Time>((wait + unit * units) * 1e9); }
-    // How long it may be silent with shots out: well past its slowest recent answer and past the pauses of
-    // disks.
+    // How long it may be silent with shots out: well past its slowest recent answer and the pauses of disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
 };
 
@@ -300,15 +283,11 @@
 // Whether a shot, after those made, can do no harm at that node. Guards against effects that happen twice.
 bool may_shoot(const Task &task, const Workload &w, const Node &node, std::uint32_t most, bool parallel,
                Time now, Time margin) {
-    if (task.shots.size() >= most || (!parallel && task.any_out()))
-        return false;
-    if (w.repeat == Repeat::reissuable)
-        return true;
+    if (task.shots.size() >= most || (!parallel && task.any_out())) return false;
+    if (w.repeat == Repeat::reissuable) return true;
     for (const auto &s : task.shots) {
-        if (s.proved_not_run)
-            continue;
-        if (w.repeat == Repeat::at_most_once || now + margin >= s.sent + w.repeat_window)
-            return false;
+        if (s.proved_not_run) continue;
+        if (w.repeat == Repeat::at_most_once || now + margin >= s.sent + w.repeat_window) return false;
         if ((w.group == Group::shard && s.shard != node.shard) ||
             (w.group == Group::zone && s.zone != node.zone))
             return false;
@@ -359,16 +338,13 @@
     }
     void ready(Time now) override {
         born_ = now;
-        if (on_request_)
-            follow(now);
+        if (on_request_) follow(now);
     }
 
     void list_begins(Time now, ListKind kind) override {
-        now_ = heard_list_ = now;
-        ask_at_ = never;
+        now_ = heard_list_ = now, ask_at_ = never;
         whole_ = kind == ListKind::whole;
-        for (auto &[id, node] : nodes_)
-            node.listed = false;
+        for (auto &[id, node] : nodes_) node.listed = false;
     }
     void node_listed(NodeId id, ShardId shard, ZoneId zone, NodeState state, Time started) override {
         Node &node = nodes_.try_emplace(id, id, schedulers_, largest_).first->second;
@@ -389,8 +365,7 @@
             }
             ready_.push_back(&node);
             Node *&holder = holds_[node.shard]; // a node that replaces another holds its shard too
-            if (!holder || holder->started <= node.started)
-                holder = &node;
+            if (!holder || holder->started <= node.started) holder = &node;
         }
     }
     void list_failed(Time now) override {
@@ -410,9 +385,9 @@
         // Two steps early, so that the batch in which the answer leaves comes before the client is gone.
         t.last_call = client_timeout - 2 * step_;
         t.due = t.first_due = std::min(now + workloads_[workload].due, t.last_call);
-        // Asked before, and ended without an answer: the due time is still the first try's. Acts where
-        // clients do not mark their repeats, too. Harm: two tasks alike in volume, data, workload and size
-        // are taken for one.
+        // Asked before, and ended without an answer: the due time is still the first try's, where clients do
+        // not mark their repeats, too. Harm: two tasks alike in volume, data, workload and size are taken for
+        // one.
         auto before = unanswered_.extract(alike(t));
         if (before && key != no_key && repeated == marked_) {
             t.first_due = std::min(before.mapped(), t.due);
@@ -420,8 +395,7 @@
             t.due = t.repeated ? t.due : t.first_due;
         }
         calls_.insert({t.last_call, id});
-        if (in_turn(t))
-            turns_.join(t.key, id);
+        if (in_turn(t)) turns_.join(t.key, id);
         moving_.insert(id);
     }
     void shot_ended(Time now, TaskId id, ShotId shot, NodeId, Outcome how, Time took, bool ended, double,
@@ -446,22 +420,19 @@
     void task_withdrawn(Time now, TaskId id) override {
         now_ = now;
         auto it = tasks_.find(id);
-        if (it == tasks_.end() || it->second.ended)
-            return;
+        if (it == tasks_.end() || it->second.ended) return;
         left_.add({now, now - it->second.taken});
         unanswered_[alike(it->second)] = it->second.first_due;
         end(it->second);
         forget_if_done(it);
     }
     void alarm(Time now, AlarmId) override {
-        if (now >= next_alarm_)
-            next_alarm_ = never;
+        if (now >= next_alarm_) next_alarm_ = never;
     }
 
     void settle(Time now) override {
         now_ = now;
-        if (on_request_ && (now >= ask_at_ || now - heard_list_ > ask_within_))
-            follow(now);
+        if (on_request_ && (now >= ask_at_ || now - heard_list_ > ask_within_)) follow(now);
         while (!calls_.empty() && calls_.begin()->first <= now) {
             auto it = tasks_.find(calls_.begin()->second);
             give_up(it->second, 0), forget_if_done(it);
@@ -494,13 +465,11 @@
     }
     void end(Task &t) {
         leave_stage(t);
-        if (t.passed_limit && t.shots.empty())
-            limits_.at(t.volume).give_back(t.units);
+        if (t.passed_limit && t.shots.empty()) limits_.at(t.volume).give_back(t.units);
         calls_.erase({t.last_call, t.id}), t.ended = true;
         if (may_call_off_)
             for (std::uint32_t i = 0; i < t.shots.size(); ++i)
-                if (t.shots[i].out)
-                    do_.call_off(t.id, ShotId{i});
+                if (t.shots[i].out) do_.call_off(t.id, ShotId{i});
     }
     void leave_stage(Task &t) {
         moving_.erase(t.id);
@@ -513,10 +482,8 @@
     // A task is done with when it has its answer and no shot out; only then does its key's next one go.
     void forget_if_done(std::map<TaskId, Task>::iterator it) {
         Task &t = it->second;
-        if (!t.ended || t.any_out())
-            return;
-        if (in_turn(t))
-            turns_.leave(t.key, t.id);
+        if (!t.ended || t.any_out()) return;
+        if (in_turn(t)) turns_.leave(t.key, t.id);
         tasks_.erase(it);
     }
     // Value first; a client's repeat is past its due time, or nearly, and earns what a late answer does.
@@ -534,8 +501,7 @@
             Task &t = it->second;
             if (t.stage == Stage::turn && (!in_turn(t) || turns_.may_go(t.key, t.id, now_)))
                 t.stage = Stage::limit;
-            if (t.stage == Stage::limit && pass_limit(t))
-                t.stage = Stage::placement;
+            if (t.stage == Stage::limit && pass_limit(t)) t.stage = Stage::placement;
             Node *node = t.stage == Stage::placement ? place(t) : nullptr;
             if (node)
                 enter(*node, t);
@@ -547,8 +513,7 @@
     }
     bool pass_limit(Task &t) {
         const Plan &plan = plans_[t.plan];
-        if (plan.limit_rate <= 0 || t.passed_limit)
-            return true;
+        if (plan.limit_rate <= 0 || t.passed_limit) return true;
         auto &part = limits_.try_emplace(t.volume, plan.limit_rate, plan.limit_burst, born_).first->second;
         t.passed_limit = part.take(now_, t.units, t.hosts);
         refuse_ = !t.passed_limit && part.never_fits(t.units);
@@ -560,19 +525,17 @@
             auto it = holds_.find(t.shard);
             return it == holds_.end() ? nullptr : it->second;
         }
-        if (ready_.empty())
-            return nullptr;
+        if (ready_.empty()) return nullptr;
         Node *a = ready_[chance_() % ready_.size()], *b = ready_[chance_() % ready_.size()];
         return cost(*b) < cost(*a) ? b : a;
     }
-    // Our own counts: the time that what we have waiting and out there takes; a silent or cold node comes
-    // last.
+    // Our own counts: the time that what we have waiting and out takes; silent and cold nodes come last.
     double cost(const Node &n) const {
         return n.wait + (1 + n.units_waiting + n.units_out) * n.unit + (n.silent ? 1e9 : 0) +
                (is_cold(n) ? 1e6 : 0);
     }
-    // Share, and reserve at what a unit inside it earns over one inside the share: what earns most is served
-    // first. By the share alone a large reserve is served no better than none.
+    // Share, and reserve at what a unit inside it earns over one inside the share. By the share alone a large
+    // reserve is served no better than none.
     double weight(const Plan &plan) const {
         return plan.weight + plan.reserve / share_worth_ * shares_ / std::max(usual_, 1e-9);
     }
@@ -587,8 +550,7 @@
     // us for each and by how many ask. A surge weighs little, wherever it comes through.
     double weighs(const Node &node) {
         double all = 0, sum = 0;
-        for (auto &[id, plan] : plans_)
-            sum += worth(plan, std::max(plan.usual, 1e-6));
+        for (auto &[id, plan] : plans_) sum += worth(plan, std::max(plan.usual, 1e-6));
         for (auto &[v, line] : node.volumes.lines())
             if (!line.tasks.empty()) {
                 const Task &t = tasks_.at(std::get<TaskId>(*line.tasks.begin()));
@@ -601,13 +563,13 @@
     void enter(Node &node, Task &t) {
         moving_.erase(t.id), t.stage = Stage::queue, t.node = node.id;
         node.units_waiting += t.units, busy_.insert(node.id);
-        if (t.shots.empty())
-            asked_[t.volume].add(now_, t.units), node.asked.add(now_, t.units),
-                node.asked.since(now_ - long_run);
+        if (t.shots.empty()) {
+            node.asked.add(now_, t.units), node.asked.since(now_ - long_run);
+            asked_[t.volume].add(now_, t.units), asked_[t.volume].since(now_ - surge);
+        }
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
     }
-    // Tasks queued at a node that drains or is gone go back to placement, where they are moved, held or
-    // answered.
+    // Tasks queued at a node that drains or is gone go back to placement: moved, held or answered there.
     void empty_queue(Node &node) {
         for (auto &[id, t] : tasks_)
             if (t.stage == Stage::queue && t.node == node.id && !t.ended)
@@ -616,11 +578,9 @@
 
     // ---- The node's volumes, and the gates.
     void serve(Node &node) {
-        if (node.state != NodeState::ready)
-            return;
+        if (node.state != NodeState::ready) return;
         watch(node);
-        if (node.units_waiting < 1e-9)
-            return;
+        if (node.units_waiting < 1e-9) return;
         node.reckon(now_, unit_time_.quantile(0.25));
         drop_late(node);
         while (auto v = node.volumes.choose(now_)) {
@@ -636,11 +596,9 @@
                 node.volumes.exhaust(now_);
                 continue;
             }
-            // Abandoned work stays in the window until a later shot is answered, as nodes take tasks in turn:
-            // a node must not fill with doomed work. One shot may always go, or nothing would tell of its
-            // end.
-            bool spare =
-                now_ < node.lost + 2 * sec; // where shots get lost, one more: the last loss is that near
+            // Abandoned work stays in the window until a later shot is answered: nodes must not fill with it.
+            // One shot may always go, or nothing would tell of its end; where some got lost lately, two.
+            bool spare = now_ < node.lost + 2 * sec;
             std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
             if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare, now_ - node.last_shot,
                                   node.expected(t.units), weighs(node)) ||
@@ -650,14 +608,12 @@
             shoot(node, t);
         }
     }
-    // How long clients wait now, where many leave early: the quick quarter of those who left. Guards against
-    // serving only who is about to go. Acts while eight left within two seconds: more than chance. Harm: the
-    // impatience of some shortens the wait of all.
+    // How long clients wait now, where many leave early (eight in two seconds): the quick quarter of them.
+    // Guards against serving only who is about to go. Harm: the impatience of some shortens the wait of all.
     Time clients_wait() const {
         Samples<Time, 32> lately;
         for (auto &[at, waited] : left_)
-            if (at > now_ - 2 * sec)
-                lately.add(waited);
+            if (at > now_ - 2 * sec) lately.add(waited);
         return lately.size() < 8 ? never / 2 : lately.quantile(0.25);
     }
     // Ends waiting tasks that can't be in time any more, to be asked again past the jam if at all.
@@ -694,22 +650,17 @@
     }
     bool is_cold(const Node &node) const { return now_ < node.cold_until; }
     bool gates_open(Node &node, const Task &t) {
-        if (now_ < node.hold_until)
-            return false;
+        if (now_ < node.hold_until) return false;
         if (node.silent) {
             // Trial shots, one at a time, the schedulers taking turns by their numbers: long enough for a
             // trial to be answered before the next one's turn, but all within what a client waits.
             constexpr Time trial = 250 * ms, round = 2 * sec;
-            Time turn = std::min<Time>(trial, round / schedulers_);
-            bool mine = static_cast<std::uint64_t>(now_ / turn) % schedulers_ == self_.value;
-            if (!mine || now_ - node.last_shot < trial)
-                return false;
+            auto turn = static_cast<std::uint64_t>(now_ / std::min<Time>(trial, round / schedulers_));
+            if (turn % schedulers_ != self_.value || now_ - node.last_shot < trial) return false;
         }
-        if (!node.silent && !is_cold(node))
-            return true;
+        if (!node.silent && !is_cold(node)) return true;
         // Just started, we have forgotten what we sent. Below: what leaves may arrive a step later.
-        if (now_ < born_ + cold_span_)
-            return false;
+        if (now_ < born_ + cold_span_) return false;
         Time span = cold_span_ + step_, over = std::min(long_run, now_ - born_);
         double asked = node.asked.since(now_ - over) * seconds(span) / seconds(over);
         return cold_units_ <= 0 ||
@@ -725,8 +676,7 @@
         node.last_shot = now_;
         node.sent.add(now_, t.units), node.sent.since(now_ - cold_span_ - step_);
         node.units_waiting -= t.units, node.units_out += t.units;
-        if (node.out.empty())
-            node.heard = now_;
+        if (node.out.empty()) node.heard = now_;
         node.out.insert({now_, {t.id, ShotId{static_cast<std::uint32_t>(t.shots.size())}}});
         t.shots.push_back({node.id, node.shard, node.zone, now_, true, false});
         t.stage = Stage::shooting;
@@ -742,12 +692,11 @@
             node.window.answered(now_, std::max(t.units, 1.0), took);
             if (took > node.expected(std::max(t.units, 1.0)) && t.shots[shot.value].sent >= node.overtaken)
                 node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
-            if (took > node.patience() && t.shots[shot.value].sent < node.overtaken)
-                node.lost = now_; // others were answered meanwhile
+            if (took > node.patience() && t.shots[shot.value].sent < node.overtaken) node.lost = now_;
         }
         if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
-            // It may have restarted before the list says so: taken for cold if it refused a connection, or
-            // was silent for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
+            // It may have restarted before the list says so: cold if it refused a connection or was silent
+            // for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
             constexpr Time restart = 2 * sec; // no process was seen back sooner
             if (node.refused || (node.silent && now_ - node.heard > restart))
                 node.cold_until = std::max(node.cold_until, now_ + warm_after_);
@@ -768,18 +717,17 @@
             node.silent = node.refused = true;
         }
     }
-    // A shot is overdue past the node's patience, or overtaken: nodes take tasks in turn, and a later one was
-    // answered. It may be lost while the node lives: it leaves the window. With two overdue and nothing heard
-    // the node is silent and must not fill with doomed shots, whatever the cause. Harm: costly tasks are
-    // overtaken too; a pause past the patience costs those that wait through it.
+    // A shot is overdue past the node's patience, or overtaken by a later one's answer: it may be lost while
+    // the node lives, and leaves the window. With two overdue and nothing heard the node is silent and must
+    // not fill with doomed shots. Harm: costly tasks are overtaken too; a long pause costs those that wait
+    // through it.
     void watch(Node &node) {
         Time since = now_ - node.patience(), slow = now_ - 3 * node.took.quantile(0.5);
         node.overdue = 0;
         for (auto it = node.out.begin(); it != node.out.end(); ++it)
             node.overdue += it->first < since || (it->first < node.overtaken && it->first < slow);
         node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(since));
-        if (node.overdue >= 2 && node.heard < since)
-            node.silent = true;
+        if (node.overdue >= 2 && node.heard < since) node.silent = true;
     }
     // A shot came back without an answer: another one, if harmless and possibly in time; else the end.
     void again(Task &t) {
@@ -808,8 +756,7 @@
             {at, calls_.empty() ? never : calls_.begin()->first, moving_.empty() ? never : now_ + look});
         for (auto id : busy_)
             at = std::min(at, now_ + (nodes_.at(id).units_waiting > 1e-9 ? look : watch_out));
-        if (at < next_alarm_)
-            do_.set_alarm(AlarmId{1}, std::max<Time>(at - now_, 0)), next_alarm_ = at;
+        if (at < next_alarm_) do_.set_alarm(AlarmId{1}, std::max<Time>(at - now_, 0)), next_alarm_ = at;
     }
 
     Actions &do_;
