--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -113,8 +113,8 @@
     }
     double size() const { return size_; }
     // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best;
-    // doubles at most. Before there are eight answers it goes by whether each came in time.
-    void answered(Time now, double units, Time took, bool late) {
+    // doubles at most. Before there are eight answers, one that took half its due time or more halves it.
+    void answered(Time now, double units, Time took, bool slow) {
         took_.add({now, units, seconds(took)});
         double u = 0, t = 0, fresh_u = 0, fresh_t = 0;
         for (auto &[at, au, s] : took_) {
@@ -122,7 +122,7 @@
             if (at > now - fresh) fresh_u += au, fresh_t += s;
         }
         if (took_.size() == lately) best_.add(t / u);
-        if (best_.empty() ? late : fresh_t / fresh_u >= 2 * best_.quantile(0))
+        if (best_.empty() ? slow : fresh_t / fresh_u >= 2 * best_.quantile(0))
             halve(now, took);
         else if (!best_.empty() || size_ < 1)
             size_ = std::min(ceiling, size_ + std::min(size_, 1 / size_));
@@ -688,7 +688,7 @@
         if (how == Outcome::timed_out || how == Outcome::called_off) {
             node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
-            node.window.answered(now_, std::max(t.units, 1.0), took, now_ > t.due);
+            node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > workloads_[t.workload].due);
             if (took > node.expected(std::max(t.units, 1.0)) && t.shots[shot.value].sent >= node.overtaken)
                 node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken) node.lost = now_;
@@ -708,7 +708,7 @@
             node.took.add(took);
             node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             unit_time_.add(seconds(took) / std::max(t.units, 1.0));
-            node.window.answered(now_, std::max(t.units, 1.0), took, now_ > t.due);
+            node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > workloads_[t.workload].due);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
             node.hold_until = now_ + node.expected(t.units); // a place is free when something was done
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -92,13 +92,13 @@
     TEST_CASE("the window grows while per-unit latency is near its best") {
         Window w(1);
         for (int i = 0; i < 40; ++i)
-            w.answered(i * ms, 2, 10 * ms);
+            w.answered(i * ms, 2, 10 * ms, false);
         CHECK(w.size() > 8);
     }
     TEST_CASE("the window halves at most once per round trip, and not below its floor") {
         Window w(1);
         for (int i = 0; i < 200; ++i)
-            w.answered(i * ms, 2, 10 * ms);
+            w.answered(i * ms, 2, 10 * ms, false);
         double before = w.size();
         w.halve(sec, 50 * ms);
         w.halve(sec + 10 * ms, 50 * ms);
@@ -107,7 +107,27 @@
     TEST_CASE("schedulers share the window's floor of four") {
         CHECK(Window(1).size() == doctest::Approx(4));
         CHECK(Window(2).size() == doctest::Approx(2));
-        CHECK(Window(8).size() == doctest::Approx(1));
+        CHECK(Window(80).size() == doctest::Approx(1)); // one may always go first
+    }
+    TEST_CASE("before there are eight answers a slow one halves the window, below one, too") {
+        Window w(80);
+        w.answered(sec, 2, 400 * ms, true);
+        CHECK(w.size() == doctest::Approx(0.5));
+        w.answered(2 * sec, 2, 10 * ms, false);
+        CHECK(w.size() == doctest::Approx(1));
+    }
+    TEST_CASE("a window below one rests after a shot, the shorter the more its volumes weigh") {
+        Window w(80);
+        w.answered(sec, 2, 400 * ms, true);
+        CHECK_FALSE(w.open(0, 190 * ms, 100 * ms, 1));
+        CHECK(w.open(0, 200 * ms, 100 * ms, 1));
+        CHECK(w.open(0, 100 * ms, 100 * ms, 2));
+        CHECK_FALSE(w.open(1, sec, 100 * ms, 1));
+    }
+    TEST_CASE("whatever its volumes weigh, a scheduler keeps its part of the floor") {
+        Window w(5); // four fifths
+        w.answered(sec, 2, 400 * ms, true);
+        CHECK(w.open(0, 125 * ms, 100 * ms, 0.01));
     }
 }
 
@@ -270,6 +290,37 @@
         t.s->settle(901 * ms);
         CHECK(t.did.count("shoot") == 5); // two, then a window of two and one more
     }
+    TEST_CASE("old answers tell of no wait, so that a node is not shunned for good by what it was") {
+        Node n(NodeId{1}, 80, 8);
+        n.answers.add({0, 2, 0.9});
+        n.reckon(100 * ms, 0.01);
+        CHECK(n.expected(2) == doctest::Approx(900e6));
+        n.reckon(2 * sec, 0.01);
+        CHECK(n.expected(2) == doctest::Approx(20e6));
+    }
+    TEST_CASE("the wait of a small task is not multiplied by a large one's units") {
+        Node n(NodeId{1}, 80, 8);
+        n.answers.add({0, 1, 0.11});
+        n.reckon(ms, 0.01);
+        CHECK(n.expected(8) == doctest::Approx(180e6));
+    }
+    TEST_CASE("where eight answers came in four seconds, their middle by units is expected") {
+        Node n(NodeId{1}, 2, 8);
+        for (int i = 0; i < 8; ++i)
+            n.answers.add({0, 2, 0.1});
+        n.reckon(sec, 0.01);
+        CHECK(n.expected(4) == doctest::Approx(200e6));
+    }
+    TEST_CASE("a shot whose client is gone counts in the expected time where it took longer") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.s->settle(0);
+        t.outcome(600 * ms, 1, Outcome::called_off, 600 * ms);
+        t.task(600 * ms, 2);
+        t.s->settle(601 * ms);
+        CHECK(t.did.count("deny 2") == 1);
+    }
     TEST_CASE("a cold node's part grows with its age") {
         Bench t;
         t.s->set_cold(8, sec, 10 * sec, 0.1);
