--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -688,7 +688,7 @@
         if (how == Outcome::timed_out || how == Outcome::called_off) {
             node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
-            node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > workloads_[t.workload].due);
+            node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
             if (took > node.expected(std::max(t.units, 1.0)) && t.shots[shot.value].sent >= node.overtaken)
                 node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken) node.lost = now_;
@@ -705,13 +705,16 @@
         if (how == Outcome::answered) {
             node.overtaken = std::max(node.overtaken, t.shots[shot.value].sent);
             node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(node.overtaken));
-            node.took.add(took);
+            node.took.add(took), node.fulls = 1;
             node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             unit_time_.add(seconds(took) / std::max(t.units, 1.0));
-            node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > workloads_[t.workload].due);
+            node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
-            node.hold_until = now_ + node.expected(t.units); // a place is free when something was done
+            // A place is free when something was done. Each further time twice as long, up to all schedulers
+            // together sending one in the time that one takes: else a full node stays full of doomed work.
+            node.hold_until = now_ + node.expected(t.units) * node.fulls;
+            node.fulls = std::min(node.fulls * 2, schedulers_);
         } else if (how == Outcome::unreachable) {
             node.silent = node.refused = true;
         }
