--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -693,7 +693,7 @@
                 node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken) node.lost = now_;
         }
-        if (how == Outcome::answered || how == Outcome::error || how == Outcome::full) {
+        if (how == Outcome::answered || how == Outcome::error) {
             // It may have restarted before the list says so: cold if it refused a connection or was silent
             // for longer than nodes pause. A reset alone is no sign: its cause may lie on the way.
             constexpr Time restart = 2 * sec; // no process was seen back sooner
@@ -728,8 +728,9 @@
         node.overdue = 0;
         for (auto it = node.out.begin(); it != node.out.end(); ++it)
             node.overdue += it->first < since || (it->first < node.overtaken && it->first < slow);
-        node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(since));
-        if (node.overdue >= 2 && node.heard < since) node.silent = true;
+        node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(since - 3 * node.patience()));
+        auto stale = std::distance(node.ghosts.begin(), node.ghosts.lower_bound(since));
+        if (node.overdue + static_cast<std::size_t>(stale) >= 2 && node.heard < since) node.silent = true;
     }
     // A shot came back without an answer: another one, if harmless and possibly in time; else the end.
     void again(Task &t) {
