--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -87,9 +87,8 @@
 };
 
 // ---- Cold gate: whether a cold node still bears these units within this scheduler's part. Guards against
-// all schedulers pushing it over, each taking the whole of what it bears. A part below the largest task would
-// leave the node idle, so there tasks go by lot, each with the chance at which, by what was asked of us over
-// a longer time, the part is met in the mean: it is their sum that the node feels.
+// all together pushing it over. A part below the largest task would leave it idle: there tasks go by lot,
+// with the chance at which, by what was asked of us over a longer time, the part is met in the mean.
 bool cold_allows(double sent, double units, double part, double largest, double asked_in_span, double lot) {
     return part >= largest ? sent + units <= part : sent == 0 && lot * asked_in_span <= part;
 }
@@ -384,8 +383,8 @@
         // Two steps early, so that the batch in which the answer leaves comes before the client is gone.
         t.last_call = client_timeout - 2 * step_;
         t.due = t.first_due = std::min(now + workloads_[workload].due, t.last_call);
-        // Asked before, and ended without an answer: the due time is still the first try's, where clients do
-        // not mark their repeats, too. Harm: two tasks alike in volume, data, workload and size are taken for
+        // Asked before, and ended without an answer: the due time is still the first try's, where clients
+        // don't mark their repeats, too. Harm: two tasks alike in volume, data, workload and size count as
         // one.
         auto before = unanswered_.extract(alike(t));
         if (before && key != no_key && repeated == marked_) {
@@ -545,8 +544,7 @@
                share = std::min(asked, std::max(p.usual, p.reserve)) - reserve;
         return p.price * (reserve + share_worth_ * share + spare_worth_ * (asked - reserve - share)) / asked;
     }
-    // The worth of all volumes that wait at a node against the mean of the plans, by what was lately asked of
-    // us for each and by how many ask. A surge weighs little, wherever it comes through.
+    // The worth of all volumes that wait at a node against the mean of the plans: a surge weighs little.
     double weighs(const Node &node) {
         double all = 0, sum = 0;
         for (auto &[id, plan] : plans_) sum += worth(plan, std::max(plan.usual, 1e-6));
@@ -686,7 +684,7 @@
         node.units_out -= t.units;
         node.volumes.returned(t.volume);
         if (how == Outcome::timed_out || how == Outcome::called_off) {
-            node.ghosts.insert(t.shots[shot.value].sent);
+            if (t.shots[shot.value].sent >= node.overtaken) node.ghosts.insert(t.shots[shot.value].sent);
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
             if (took > node.expected(std::max(t.units, 1.0)) && t.shots[shot.value].sent >= node.overtaken)
@@ -711,8 +709,8 @@
             node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
-            // A place is free when something was done. Each further time twice as long, up to all schedulers
-            // together sending one in the time that one takes: else a full node stays full of doomed work.
+            // A place is free when something was done. Each further time twice as long, until all schedulers
+            // together send one in the time that one takes: else it stays full of doomed work.
             node.hold_until = now_ + node.expected(t.units) * node.fulls;
             node.fulls = std::min(node.fulls * 2, schedulers_);
         } else if (how == Outcome::unreachable) {
@@ -720,9 +718,9 @@
         }
     }
     // A shot is overdue past the node's patience, or overtaken by a later one's answer: it may be lost while
-    // the node lives, and leaves the window. With two overdue and nothing heard the node is silent and must
-    // not fill with doomed shots. Harm: costly tasks are overtaken too; a long pause costs those that wait
-    // through it.
+    // the node lives, and leaves the window. With two overdue or abandoned and nothing heard the node is
+    // silent and must not fill with doomed shots. Harm: costly tasks are overtaken too, and a long pause
+    // costs.
     void watch(Node &node) {
         Time since = now_ - node.patience(), slow = now_ - 3 * node.took.quantile(0.5);
         node.overdue = 0;
