--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -384,8 +384,7 @@
         t.last_call = client_timeout - 2 * step_;
         t.due = t.first_due = std::min(now + workloads_[workload].due, t.last_call);
         // Asked before, and ended without an answer: the due time is still the first try's, where clients
-        // don't mark their repeats, too. Harm: two tasks alike in volume, data, workload and size count as
-        // one.
+        // don't mark their repeats, too. Harm: tasks alike in volume, data, workload and size count as one.
         auto before = unanswered_.extract(alike(t));
         if (before && key != no_key && repeated == marked_) {
             t.first_due = std::min(before.mapped(), t.due);
