--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -321,6 +321,36 @@
         t.s->settle(601 * ms);
         CHECK(t.did.count("deny 2") == 1);
     }
+    TEST_CASE("abandoned shots with nothing heard make a node silent, too") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.s->settle(0);
+        t.task(ms, 2);
+        t.s->settle(ms);
+        t.outcome(100 * ms, 1, Outcome::called_off, 100 * ms);
+        t.outcome(100 * ms, 2, Outcome::called_off, 99 * ms);
+        t.task(700 * ms, 3);
+        t.s->settle(700 * ms);
+        CHECK(t.did.count("shoot") == 2);
+    }
+    TEST_CASE("a node that is full again is held for longer") {
+        Bench t;
+        t.list(0);
+        t.task(0, 1);
+        t.s->settle(0);
+        t.outcome(10 * ms, 1, Outcome::answered);
+        t.task(20 * ms, 2);
+        t.s->settle(20 * ms);
+        t.outcome(21 * ms, 2, Outcome::full, ms);
+        t.s->settle(32 * ms);
+        CHECK(t.did.count("shoot 2") == 2);
+        t.outcome(33 * ms, 2, Outcome::full, ms, 1);
+        t.s->settle(45 * ms);
+        CHECK(t.did.count("shoot 2") == 2);
+        t.s->settle(54 * ms);
+        CHECK(t.did.count("shoot 2") == 3);
+    }
     TEST_CASE("a cold node's part grows with its age") {
         Bench t;
         t.s->set_cold(8, sec, 10 * sec, 0.1);
