--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -121,7 +121,7 @@
             if (at > now - fresh) fresh_u += au, fresh_t += s;
         }
         if (took_.size() == lately) best_.add(t / u);
-        if (best_.empty() ? slow : fresh_t / fresh_u >= 2 * best_.quantile(0))
+        if (best_.empty() || size_ <= 1 ? slow : fresh_t / fresh_u >= 2 * best_.quantile(0))
             halve(now, took);
         else if (!best_.empty() || size_ < 1)
             size_ = std::min(ceiling, size_ + std::min(size_, 1 / size_));
