--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,23 @@
+find_package(doctest REQUIRED)
+add_executable(knotvane_tests tests/main.cpp tests/policy_test.cpp tests/wire_test.cpp src/drill/host.cpp)
+target_include_directories(knotvane_tests PRIVATE src)
+target_link_libraries(knotvane_tests PRIVATE doctest::doctest)
+add_test(NAME decisions COMMAND knotvane_tests)
+
+if(KNOTVANE_PROGRAM)
+  add_library(rapidcheck_lib INTERFACE)
+  target_link_libraries(rapidcheck_lib INTERFACE rapidcheck)
+  # A package's tests: one binary, named after it.
+  function(package_tests name)
+    cmake_parse_arguments(p "" "" "SOURCES;LIBS" ${ARGN})
+    add_executable(${name}_tests tests/main.cpp ${p_SOURCES})
+    target_link_libraries(${name}_tests PRIVATE ${p_LIBS} doctest::doctest rapidcheck)
+    add_test(NAME ${name} COMMAND ${name}_tests)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 240)
+  endfunction()
+
+  package_tests(nbd SOURCES tests/nbd/server_test.cpp LIBS knotvane_nbd)
+  add_executable(nbd_fuzz_fixed tests/fuzz/nbd_fuzz.cpp tests/fuzz/run_fixed.cpp)
+  target_link_libraries(nbd_fuzz_fixed PRIVATE knotvane_nbd)
+  add_test(NAME nbd_fuzz_fixed COMMAND nbd_fuzz_fixed)
+endif()
