Add the stand-in node: store with checksums and marks, service, cold start, faults on command

Late first copies: the mark drops them within the window, the not-after time past it, durable marks and dead connections after a restart; each guard has its test.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -11,3 +11,7 @@
 
 add_library(knotvane_nbd src/nbd/server.cpp)
 target_include_directories(knotvane_nbd PUBLIC src)
+add_library(knotvane_frames src/frames/frames.cpp)
+target_link_libraries(knotvane_frames PUBLIC knotvane_policy PkgConfig::isal)
+add_library(knotvane_node src/node/medium.cpp src/node/store.cpp src/node/disk.cpp)
+target_link_libraries(knotvane_node PUBLIC knotvane_frames)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -17,6 +17,7 @@
   endfunction()
 
   package_tests(nbd SOURCES tests/nbd/server_test.cpp LIBS knotvane_nbd)
+  package_tests(node SOURCES tests/node/node_test.cpp LIBS knotvane_node)
   add_executable(nbd_fuzz_fixed tests/fuzz/nbd_fuzz.cpp tests/fuzz/run_fixed.cpp)
   target_link_libraries(nbd_fuzz_fixed PRIVATE knotvane_nbd)
   add_test(NAME nbd_fuzz_fixed COMMAND nbd_fuzz_fixed)
