--- /dev/null
+++ b/src/edge/core.cpp
@@ -0,0 +1,528 @@
+#include "edge/core.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "nbd/wire.hpp"
+
+namespace knotvane::edge {
+namespace {
+
+constexpr Time never = std::numeric_limits<Time>::max();
+
+} // namespace
+
+// The decisions' actions, kept until the call in which they came is over: an answer may free a client's next
+// request, which must not reach the decisions in the middle of a decision.
+struct Core::Deeds final : Actions {
+    enum class Kind { shoot, call_off, deny, error };
+    struct Deed {
+        Kind kind;
+        TaskId task;
+        ShotId shot;
+        NodeId node;
+        Time time;
+    };
+    Core &core;
+    std::deque<Deed> waiting;
+
+    explicit Deeds(Core &c) : core(c) {}
+    void shoot(TaskId id, NodeId n, Time time_out) override {
+        // Counted from here on: should the task end before the shot goes, its outcome is still owed.
+        auto &t = core.tasks_.at(id);
+        ShotId shot{static_cast<std::uint32_t>(t.shots.size())};
+        t.shots.push_back(n), t.sent.push_back(core.now_), ++t.out;
+        waiting.push_back({Kind::shoot, id, shot, n, time_out});
+    }
+    void call_off(TaskId t, ShotId s) override { waiting.push_back({Kind::call_off, t, s, {}, 0}); }
+    void deny(TaskId t, Time come_back) override { waiting.push_back({Kind::deny, t, {}, {}, come_back}); }
+    void error(TaskId t) override { waiting.push_back({Kind::error, t, {}, {}, 0}); }
+    void set_alarm(AlarmId a, Time wait) override { core.alarms_[a] = core.now_ + wait; }
+    // The list is pushed to the edge; there is nobody to ask. Told as settings, so that none of these comes.
+    void follow_list() override {}
+    void ask_list() override {}
+    void probe(NodeId) override {}
+    void tell_all(std::string_view) override {}
+    void note(std::string_view text) override { core.shell_.say("decisions: " + std::string(text)); }
+};
+
+struct Core::Client final : nbd::Asked {
+    Core &core;
+    ClientId id;
+    nbd::Session session;
+    Volume *volume = nullptr;
+    std::set<RequestNo> requests;
+    std::uint64_t seen_losses = 0;
+    std::size_t out = 0; // handed to the shell and not yet written
+    bool held = false, gone = false;
+
+    Client(Core &c, ClientId i) : core(c), id(i), session(*this, c.flying_, c.request_) {}
+
+    std::vector<std::string> exports() override {
+        std::vector<std::string> out_names;
+        for (auto &v : core.volumes_) out_names.push_back(v.name);
+        return out_names;
+    }
+    Volume *find(std::string_view name) {
+        for (auto &v : core.volumes_)
+            if (v.name == name || name.empty()) return &v;
+        return nullptr;
+    }
+    bool describe(std::string_view name, std::uint64_t &size, std::uint16_t &flags, std::uint32_t &least,
+                  std::uint32_t &preferred, std::uint32_t &most) override {
+        auto *v = find(name);
+        if (!v) return false;
+        size = v->size, least = v->least, preferred = 4096, most = core.request_;
+        flags = nbd::send_flush | nbd::send_fua | nbd::send_trim | nbd::send_write_zeroes | nbd::send_df |
+                nbd::send_cache;
+        // A flush here reaches what this edge wrote, on any connection; what another edge wrote it can't know.
+        if (v->hosts == 1) flags |= nbd::can_multi_conn;
+        return true;
+    }
+    void opened(std::string_view name) override {
+        volume = find(name);
+        seen_losses = volume->unflushed.losses();
+    }
+    void read(nbd::RequestId r, std::uint64_t offset, std::uint32_t length, bool) override {
+        core.read(*this, r, offset, length);
+    }
+    void write(nbd::RequestId r, std::uint64_t offset, std::string_view data, bool fua) override {
+        core.change(*this, r, offset, static_cast<std::uint32_t>(data.size()), data, false, fua);
+    }
+    void zero(nbd::RequestId r, std::uint64_t offset, std::uint32_t length, bool fua, bool no_hole,
+              bool) override {
+        // Without holes the zeroes are written out, so that the space is there.
+        if (no_hole && length <= core.request_)
+            core.change(*this, r, offset, length, std::string(length, '\0'), false, fua);
+        else
+            core.change(*this, r, offset, length, {}, true, fua);
+    }
+    void trim(nbd::RequestId r, std::uint64_t offset, std::uint32_t length, bool fua) override {
+        core.change(*this, r, offset, length, {}, true, fua);
+    }
+    void flush(nbd::RequestId r) override { core.flush(*this, r); }
+    void cache(nbd::RequestId r, std::uint64_t, std::uint32_t) override { session.done(r); } // only advice
+    void status(nbd::RequestId r, std::uint64_t offset, std::uint32_t length, bool) override {
+        core.status(*this, r, offset, length);
+    }
+    void left(std::string_view fault) override {
+        if (!fault.empty()) core.shell_.say("client " + std::to_string(id.value) + ": " + std::string(fault));
+        gone = true;
+    }
+};
+
+Core::Core(Shell &shell, const MakeScheduler &make, std::uint64_t id, std::uint64_t life, std::uint64_t extent,
+           std::uint64_t span, std::uint64_t unit, std::vector<ShardId> shards)
+    : shell_(shell), deeds_(std::make_unique<Deeds>(*this)), scheduler_(make(*deeds_)),
+      layout_(extent, span, std::move(shards)), id_(id), life_(life), unit_(unit) {
+    set_links(1, sec, sec, 60 * sec, 1 << 20);
+}
+Core::~Core() = default;
+
+void Core::set_links(std::size_t each, Time connect, Time stall, Time idle, std::size_t most_out) {
+    links_ = std::make_unique<Links>(shell_, static_cast<Told &>(*this), id_, life_, each, connect, stall, idle, most_out);
+}
+void Core::set_door(std::uint32_t flying, std::uint32_t request, std::size_t tasks, std::size_t bytes) {
+    flying_ = flying, request_ = request, most_tasks_ = tasks, most_bytes_ = bytes;
+}
+void Core::add_volume(VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least, PlanId plan,
+                      std::uint32_t hosts) {
+    volumes_.push_back({id, name, size, least, plan, hosts, {}});
+}
+void Core::add_workload(WorkloadId id, Command command, std::uint32_t up_to, std::optional<VolumeId> volume,
+                        Time client_timeout, Time window) {
+    workloads_.push_back({id, command, up_to, volume, client_timeout, window});
+}
+void Core::ready(Time now) {
+    now_ = now;
+    scheduler_->ready(now);
+    stirred_ = true;
+}
+
+// ---- The list of nodes.
+bool Core::list_begins(Time now, std::uint64_t version) {
+    if (version <= version_) return false;
+    now_ = now, version_ = version;
+    addresses_.clear();
+    scheduler_->list_begins(now, ListKind::whole);
+    return true;
+}
+void Core::node_listed(NodeId node, const std::string &address, ShardId shard, ZoneId zone, NodeState state,
+                       Time started) {
+    if (state != NodeState::gone) addresses_[node] = address;
+    scheduler_->node_listed(node, shard, zone, state, started);
+}
+void Core::list_ends() {
+    scheduler_->list_ends();
+    links_->nodes(std::move(addresses_));
+    stirred_ = true;
+}
+
+// ---- Clients.
+void Core::client_came(Time now, ClientId id) {
+    now_ = now;
+    clients_[id] = std::make_unique<Client>(*this, id);
+    touched_.insert(id);
+    if (held_) clients_[id]->session.hold(true), clients_[id]->held = true, shell_.hold_client(id, true);
+}
+void Core::client_bytes(Time now, ClientId id, std::string_view in) {
+    now_ = now;
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    it->second->session.bytes(in);
+    touched_.insert(id);
+    if (it->second->gone) drop_client(id);
+    door();
+}
+void Core::client_written(Time now, ClientId id, std::size_t bytes) {
+    now_ = now;
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    it->second->out -= std::min(bytes, it->second->out);
+    bytes_ -= std::min(bytes, bytes_);
+    touched_.insert(id);
+    door();
+}
+void Core::client_gone(Time now, ClientId id) {
+    now_ = now;
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    it->second->gone = true;
+    drop_client(id);
+    door();
+}
+// Its requests are withdrawn; what it was still to be sent is sent where it said good-bye itself.
+void Core::drop_client(ClientId id) {
+    auto it = clients_.find(id);
+    for (auto no : std::set<RequestNo>(it->second->requests)) {
+        for (auto task : std::set<TaskId>(requests_.at(no).tasks)) {
+            auto &t = tasks_.at(task);
+            scheduler_->task_withdrawn(now_, task);
+            stirred_ = true;
+            end_task(task, t);
+        }
+        close_request(no);
+    }
+    if (auto rest = it->second->session.take_out(); !rest.empty()) shell_.send_client(id, std::move(rest));
+    bytes_ -= std::min(it->second->out, bytes_);
+    touched_.erase(id);
+    clients_.erase(it);
+    shell_.close_client(id);
+}
+
+// Past the bounds no client is read from, until enough has gone that reading does not stop and start all the time.
+void Core::door() {
+    bool over = tasks_.size() >= most_tasks_ || bytes_ >= most_bytes_;
+    bool under = tasks_.size() <= most_tasks_ / 4 * 3 && bytes_ <= most_bytes_ / 4 * 3;
+    if (held_ ? under : over) {
+        held_ = !held_;
+        for (auto &[id, c] : clients_) c->session.hold(held_), touched_.insert(id);
+    }
+}
+
+// ---- Requests become tasks.
+RequestNo Core::open(Client &c, nbd::RequestId id, Command command, std::uint64_t offset, std::size_t bytes) {
+    RequestNo no{++next_request_};
+    requests_[no] = {c.id, id, command, offset, bytes, 0, false, {}, 0};
+    c.requests.insert(no);
+    bytes_ += bytes;
+    return no;
+}
+
+void Core::take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key) {
+    auto w = std::find_if(workloads_.begin(), workloads_.end(), [&](auto &x) {
+        return x.command == command && work->length <= x.up_to && (!x.volume || *x.volume == c.volume->id);
+    });
+    if (w == workloads_.end()) { // settings are checked for this
+        fail_request(no, nbd::e_io, "errored: no workload is for this request", work->offset);
+        return;
+    }
+    TaskId id{++next_task_};
+    bool writes = command == Command::write || command == Command::zero;
+    work->number = id.value;
+    work->numbered = writes && w->window > 0;
+    Time until = now_ + w->client_timeout;
+    auto &r = requests_.at(no);
+    r.tasks.insert(id), ++r.left;
+    scheduler_->task_taken(now_, id, w->id, c.volume->id, c.volume->plan, work->shard, key, work->units,
+                           c.volume->hosts, writes, false, until);
+    tasks_[id] = {no, false, std::move(work), until, w->window, now_, {}, {}, 0};
+    stirred_ = true;
+}
+
+void Core::read(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length) {
+    auto no = open(c, id, Command::read, offset, length);
+    while (length > 0 && requests_.contains(no)) {
+        auto n = layout_.cut(offset, length, false);
+        take(no, c, Command::read,
+             std::make_shared<Work>(Work{frames::Kind::read, c.volume->id,
+                                         layout_.shard_of(c.volume->id, offset), offset, n,
+                                         1 + static_cast<double>(n) / static_cast<double>(unit_), false, 0, false, 0, {}}),
+             layout_.key_of(c.volume->id, offset));
+        offset += n, length -= n;
+    }
+}
+
+void Core::change(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length,
+                  std::string_view data, bool zeroes, bool fua) {
+    auto command = zeroes ? Command::zero : Command::write;
+    auto no = open(c, id, command, offset, data.size());
+    while (length > 0 && requests_.contains(no)) {
+        auto n = layout_.cut(offset, length, true);
+        // Zeroes cost a node little, whatever their length.
+        double units = zeroes ? 1 : 1 + static_cast<double>(n) / static_cast<double>(unit_);
+        take(no, c, command,
+             std::make_shared<Work>(Work{zeroes ? frames::Kind::zero : frames::Kind::write, c.volume->id,
+                                         layout_.shard_of(c.volume->id, offset), offset, n, units, fua, 0, false, 0,
+                                         std::string(data.substr(0, zeroes ? 0 : n))}),
+             layout_.key_of(c.volume->id, offset));
+        if (!zeroes) data.remove_prefix(n);
+        offset += n, length -= n;
+    }
+}
+
+void Core::flush(Client &c, nbd::RequestId id) {
+    auto no = open(c, id, Command::flush, 0, 0);
+    auto &r = requests_.at(no);
+    r.mark = c.volume->unflushed.mark();
+    auto shards = c.volume->unflushed.to_reach();
+    if (shards.empty()) return finish_flush(no, r);
+    for (auto shard : shards)
+        if (requests_.contains(no))
+            take(no, c, Command::flush,
+                 std::make_shared<Work>(Work{frames::Kind::flush, c.volume->id, shard, 0, 0, 1, false, 0, false, 0, {}}),
+                 no_key);
+}
+
+void Core::status(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length) {
+    // An answer may be shorter than what was asked: the first extent's part is told.
+    auto n = layout_.cut(offset, length, false);
+    auto no = open(c, id, Command::status, offset, 0);
+    take(no, c, Command::status,
+         std::make_shared<Work>(Work{frames::Kind::status, c.volume->id, layout_.shard_of(c.volume->id, offset),
+                                     offset, n, 1, false, 0, false, 0, {}}),
+         no_key);
+}
+
+// ---- Outcomes and ends.
+void Core::shot_over(Time, TaskId task, ShotId shot, NodeId node, Outcome how, frames::Status status,
+                     std::uint64_t life, std::string_view payload) {
+    overs_.push_back({task, shot, node, how, status, life, std::string(payload)});
+}
+void Core::say(std::string text) { shell_.say(std::move(text)); }
+
+void Core::do_shot(TaskId id, ShotId shot, Time time_out) {
+    auto &t = tasks_.at(id);
+    auto node = t.shots[shot.value];
+    if (t.ended) { // by another part of its request, in the same moment
+        overs_.push_back({id, shot, node, Outcome::unsent, {}, 0, {}});
+        return;
+    }
+    Time until = time_out > 0 ? std::min(now_ + time_out, t.client_timeout) : t.client_timeout;
+    if (shot == ShotId{0} && (t.work->kind == frames::Kind::write || t.work->kind == frames::Kind::zero))
+        // One moment for all its shots: past it no copy is done, and until it the node remembers the mark. So
+        // there is no time at which a late copy meets neither.
+        t.work->not_after = t.window > 0 ? now_ + t.window : t.client_timeout;
+    links_->shoot(now_, id, shot, node, t.work, until);
+}
+
+void Core::end_task(TaskId id, Task &t) {
+    if (t.ended) return;
+    t.ended = true;
+    if (auto r = requests_.find(t.request); r != requests_.end()) {
+        r->second.tasks.erase(id);
+        --r->second.left;
+    }
+    forget_if_done(id);
+}
+void Core::forget_if_done(TaskId id) {
+    auto it = tasks_.find(id);
+    if (it != tasks_.end() && it->second.ended && it->second.out == 0) tasks_.erase(it);
+}
+void Core::close_request(RequestNo no) {
+    auto it = requests_.find(no);
+    bytes_ -= std::min(it->second.bytes, bytes_);
+    if (auto c = clients_.find(it->second.client); c != clients_.end()) {
+        c->second->requests.erase(no);
+        touched_.insert(c->first);
+    }
+    requests_.erase(it);
+}
+
+// The request ends now, once; its other tasks are withdrawn.
+void Core::fail_request(RequestNo no, std::uint32_t error, const std::string &why,
+                        std::optional<std::uint64_t> where) {
+    auto it = requests_.find(no);
+    if (it == requests_.end()) return;
+    for (auto task : std::set<TaskId>(it->second.tasks)) {
+        scheduler_->task_withdrawn(now_, task);
+        stirred_ = true;
+        end_task(task, tasks_.at(task));
+    }
+    auto client = it->second.client;
+    auto id = it->second.id;
+    close_request(no);
+    if (auto c = clients_.find(client); c != clients_.end()) c->second->session.fail(id, error, why, where);
+}
+
+void Core::finish_flush(RequestNo no, Request &r) {
+    auto &c = *clients_.at(r.client);
+    auto id = r.id;
+    close_request(no);
+    auto losses = c.volume->unflushed.losses();
+    if (c.seen_losses == losses) return c.session.done(id);
+    c.seen_losses = losses;
+    c.session.fail(id, nbd::e_io, "errored: a node lost writes that were answered and not flushed");
+}
+
+void Core::delivered(Task &t, const ShotOver &over) {
+    auto it = requests_.find(t.request);
+    if (it == requests_.end()) return;
+    Request &r = it->second;
+    Client &c = *clients_.at(r.client);
+    r.some_done = true;
+    const Work &w = *t.work;
+    switch (r.command) {
+    case Command::read: c.session.data(r.id, w.offset, over.payload); break;
+    case Command::write:
+    case Command::zero: c.volume->unflushed.written(w.shard, over.life); break;
+    case Command::flush: c.volume->unflushed.flushed(w.shard, over.life, r.mark); break;
+    case Command::status: {
+        std::vector<std::pair<std::uint32_t, std::uint32_t>> runs;
+        auto u32 = [&](std::size_t at) {
+            std::uint32_t v = 0;
+            for (std::size_t i = 4; i-- > 0;) v = v << 8 | static_cast<unsigned char>(over.payload[at + i]);
+            return v;
+        };
+        for (std::size_t at = 0; at + 8 <= over.payload.size(); at += 8) runs.emplace_back(u32(at), u32(at + 4));
+        auto id = r.id;
+        close_request(t.request);
+        if (runs.empty()) return c.session.fail(id, nbd::e_io, "errored: the node told nothing of the range");
+        return c.session.extents(id, runs);
+    }
+    }
+    touched_.insert(r.client);
+}
+
+void Core::work_off() {
+    auto &deeds = deeds_->waiting;
+    while (!deeds.empty() || !overs_.empty()) {
+        while (!deeds.empty()) {
+            auto d = deeds.front();
+            deeds.pop_front();
+            auto it = tasks_.find(d.task);
+            switch (d.kind) {
+            case Deeds::Kind::shoot: do_shot(d.task, d.shot, d.time); break;
+            case Deeds::Kind::call_off: links_->call_off(now_, d.task, d.shot); break;
+            case Deeds::Kind::deny:
+            case Deeds::Kind::error: {
+                if (it == tasks_.end() || it->second.ended) break; // withdrawn in the same moment
+                Task &t = it->second;
+                auto no = t.request;
+                Request &r = requests_.at(no);
+                bool changes = r.command == Command::write || r.command == Command::zero;
+                // A denial says that trying again is harmless, of the whole request: not where another part of
+                // it was done or may have been.
+                bool deny = d.kind == Deeds::Kind::deny && !(changes && r.some_done);
+                for (auto other : r.tasks)
+                    deny = deny && (!changes || other == d.task || tasks_.at(other).shots.empty());
+                ++(deny ? denied_ : errored_);
+                std::uint64_t where = t.work->offset;
+                end_task(d.task, t);
+                auto ms_after = (d.time + ms - 1) / ms;
+                fail_request(no, deny ? nbd::e_nomem : nbd::e_io,
+                             deny ? "denied: nothing was done; try again after " + std::to_string(ms_after) +
+                                        " ms"
+                                  : "errored: it may have been done or not",
+                             where);
+                break;
+            }
+            }
+        }
+        if (overs_.empty()) break;
+        auto over = std::move(overs_.front());
+        overs_.pop_front();
+        auto it = tasks_.find(over.task);
+        if (it == tasks_.end()) continue;
+        Task &t = it->second;
+        --t.out;
+        bool well = over.how == Outcome::answered;
+        Time took = now_ - t.sent[over.shot.value];
+        shell_.shot_ended(over.task, over.node, over.how, took);
+        bool was_ended = t.ended;
+        // The decisions hear of the outcome before the answer leaves: what leaves may bring the next request.
+        scheduler_->shot_ended(now_, over.task, over.shot, over.node, over.how, took, was_ended || well, -1, 0, {});
+        stirred_ = true;
+        if (well && !was_ended) {
+            ++delivered_;
+            delivered(t, over);
+            auto no = t.request;
+            end_task(over.task, t);
+            if (auto r = requests_.find(no); r != requests_.end() && r->second.left == 0) {
+                if (r->second.command == Command::flush) {
+                    finish_flush(no, r->second);
+                } else {
+                    auto client = r->second.client;
+                    auto id = r->second.id;
+                    close_request(no);
+                    clients_.at(client)->session.done(id);
+                }
+            }
+        } else if (well && (t.work->kind == frames::Kind::write || t.work->kind == frames::Kind::zero)) {
+            // Written though its client was told otherwise: a flush later must still cover it.
+            for (auto &v : volumes_)
+                if (v.id == t.work->volume) v.unflushed.written(t.work->shard, over.life);
+        }
+        forget_if_done(over.task);
+    }
+}
+
+Time Core::next_due() const {
+    Time due = links_->next_due();
+    for (auto &[id, at] : alarms_) due = std::min(due, at);
+    if (stirred_ || !overs_.empty() || !deeds_->waiting.empty()) due = std::min(due, now_);
+    return due;
+}
+
+void Core::settle(Time now) {
+    now_ = now;
+    links_->tick(now);
+    for (auto it = alarms_.begin(); it != alarms_.end();)
+        if (it->second <= now) {
+            auto id = it->first;
+            it = alarms_.erase(it);
+            scheduler_->alarm(now, id);
+            stirred_ = true;
+        } else {
+            ++it;
+        }
+    work_off();
+    // An answer may free a request that was kept back, and that is told to the decisions in the same moment. A
+    // few rounds catch nearly all; what is left is due at once, after other events had their turn.
+    for (int rounds = 0; stirred_ && rounds < 4; ++rounds) {
+        stirred_ = false;
+        scheduler_->settle(now);
+        work_off();
+    }
+    door();
+    for (auto id : std::exchange(touched_, {})) {
+        auto it = clients_.find(id);
+        if (it == clients_.end()) continue;
+        Client &c = *it->second;
+        if (c.gone) {
+            drop_client(id);
+            continue;
+        }
+        if (c.session.out_waiting() > 0) {
+            auto out = c.session.take_out();
+            c.out += out.size(), bytes_ += out.size();
+            shell_.send_client(id, std::move(out));
+        }
+        // A client that does not take its answers is not read from.
+        constexpr std::size_t most_out = 1 << 20; // a megabyte keeps any socket busy
+        bool hold = c.session.choked() || c.out > most_out;
+        if (hold != c.held) c.held = hold, shell_.hold_client(id, hold);
+    }
+}
+
+} // namespace knotvane::edge
--- /dev/null
+++ b/src/edge/core.hpp
@@ -0,0 +1,197 @@
+// The edge without I/O: clients' and nodes' bytes and time in, bytes out. Requests are cut into tasks, the
+// decisions say what becomes of each task, links carry the shots. It decides nothing on tasks itself.
+//
+// Call order: make it; set-up calls on scheduler(), add_volume, add_workload; ready; then events as they happen,
+// and settle at the end of each moment.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "edge/ids.hpp"
+#include "edge/layout.hpp"
+#include "edge/links.hpp"
+#include "edge/unflushed.hpp"
+#include "nbd/server.hpp"
+#include "policy.hpp"
+
+namespace knotvane::edge {
+
+// What the edge asks of its shell; closing is final, nothing more is told of what was closed.
+class Shell : public Wires {
+  public:
+    virtual void send_client(ClientId client, std::string bytes) = 0;
+    virtual void close_client(ClientId client) = 0;
+    // Whether to read from a client's socket.
+    virtual void hold_client(ClientId client, bool hold) = 0;
+    // For the log: what happened to the fleet or to a connection.
+    virtual void say(std::string text) = 0;
+    // A shot has ended, for the log.
+    virtual void shot_ended(TaskId task, NodeId node, Outcome how, Time took) = 0;
+};
+
+// The kinds of command that a workload can be for.
+enum class Command { read, write, zero, flush, status };
+
+class Core final : Told {
+  public:
+    using MakeScheduler = std::function<std::unique_ptr<Scheduler>(Actions &)>;
+    // `id`, `life`: of this edge, the life another one each time it starts. `extent`, `span`: layout, bytes.
+    // `unit`: bytes that count as one unit, beyond the one that each task counts.
+    Core(Shell &shell, const MakeScheduler &make, std::uint64_t id, std::uint64_t life, std::uint64_t extent,
+         std::uint64_t span, std::uint64_t unit, std::vector<ShardId> shards);
+    ~Core() override;
+
+    Scheduler &scheduler() { return *scheduler_; }
+    // Connections to nodes: see Links. Call before ready.
+    void set_links(std::size_t each, Time connect, Time stall, Time idle, std::size_t most_out);
+    // `flying`: requests at work a client; `request`: bytes of one; `tasks`, `bytes`: of all clients together,
+    // past which no client is read from.
+    void set_door(std::uint32_t flying, std::uint32_t request, std::size_t tasks, std::size_t bytes);
+    // `least`: bytes that requests are aligned to. `hosts`: edges that serve it.
+    void add_volume(VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least, PlanId plan,
+                    std::uint32_t hosts);
+    // Tasks of this command of at most `up_to` bytes, on this volume (none: on all), are of the workload; the
+    // first that fits counts. `window`: how long nodes drop a repeat, 0 if not numbered.
+    void add_workload(WorkloadId id, Command command, std::uint32_t up_to, std::optional<VolumeId> volume,
+                      Time client_timeout, Time window);
+    void ready(Time now);
+
+    // The list of nodes, as a whole: begin, a call for each node, end. A version that is not above the last
+    // one is not taken (false).
+    bool list_begins(Time now, std::uint64_t version);
+    void node_listed(NodeId node, const std::string &address, ShardId shard, ZoneId zone, NodeState state,
+                     Time started);
+    void list_ends();
+
+    void client_came(Time now, ClientId client);
+    void client_bytes(Time now, ClientId client, std::string_view in);
+    // So many of the bytes sent have left for good.
+    void client_written(Time now, ClientId client, std::size_t bytes);
+    void client_gone(Time now, ClientId client);
+
+    void link_up(Time now, LinkId link) { links_->up(now, link); }
+    void link_failed(Time now, LinkId link) { links_->failed(now, link); }
+    void link_bytes(Time now, LinkId link, std::string_view in) { links_->bytes(now, link, in); }
+    void link_gone(Time now, LinkId link) { links_->gone(now, link); }
+    void link_written(Time now, LinkId link, std::size_t bytes) { links_->written(now, link, bytes); }
+
+    // When something is due next.
+    Time next_due() const;
+    // The end of a moment: what is due is done, waiting work goes, answers leave.
+    void settle(Time now);
+
+    // Figures, for logs and tests.
+    std::size_t tasks() const { return tasks_.size(); }
+    std::size_t waiting_bytes() const { return bytes_; }
+    std::uint64_t delivered() const { return delivered_; }
+    std::uint64_t denied() const { return denied_; }
+    std::uint64_t errored() const { return errored_; }
+    std::uint64_t version() const { return version_; }
+
+  private:
+    struct Client;
+    struct Deeds;
+    struct Volume {
+        VolumeId id;
+        std::string name;
+        std::uint64_t size;
+        std::uint32_t least;
+        PlanId plan;
+        std::uint32_t hosts;
+        Unflushed unflushed;
+    };
+    struct WorkloadFor {
+        WorkloadId id;
+        Command command;
+        std::uint32_t up_to;
+        std::optional<VolumeId> volume;
+        Time client_timeout, window;
+    };
+    struct Request {
+        ClientId client;
+        nbd::RequestId id;
+        Command command;
+        std::uint64_t offset;
+        std::size_t bytes, left = 0;
+        bool some_done = false;
+        std::set<TaskId> tasks;
+        std::uint64_t mark = 0; // of a flush
+    };
+    struct Task {
+        RequestNo request;
+        bool ended = false;
+        std::shared_ptr<Work> work;
+        Time client_timeout, window, taken;
+        std::vector<NodeId> shots;
+        std::vector<Time> sent;
+        std::size_t out = 0;
+    };
+    struct ShotOver {
+        TaskId task;
+        ShotId shot;
+        NodeId node;
+        Outcome how;
+        frames::Status status;
+        std::uint64_t life;
+        std::string payload;
+    };
+
+    // From sessions.
+    void read(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length);
+    void change(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length, std::string_view data,
+                bool zeroes, bool fua);
+    void flush(Client &c, nbd::RequestId id);
+    void status(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length);
+    RequestNo open(Client &c, nbd::RequestId id, Command command, std::uint64_t offset, std::size_t bytes);
+    void take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key);
+    // From links.
+    void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, frames::Status status,
+                   std::uint64_t life, std::string_view payload) override;
+    void say(std::string text) override;
+
+    void do_shot(TaskId task, ShotId shot, Time time_out);
+    void end_task(TaskId id, Task &t);
+    void delivered(Task &t, const ShotOver &over);
+    void fail_request(RequestNo no, std::uint32_t error, const std::string &why,
+                      std::optional<std::uint64_t> where);
+    void close_request(RequestNo no);
+    void finish_flush(RequestNo no, Request &r);
+    void forget_if_done(TaskId id);
+    void drop_client(ClientId id);
+    void door();
+    void work_off();
+
+    Shell &shell_;
+    std::unique_ptr<Deeds> deeds_;
+    std::unique_ptr<Scheduler> scheduler_;
+    std::unique_ptr<Links> links_;
+    Layout layout_;
+    std::uint64_t id_, life_, unit_;
+    std::uint32_t flying_ = 128, request_ = 4u << 20;
+    std::size_t most_tasks_ = 1 << 16, most_bytes_ = 1 << 30, bytes_ = 0;
+    bool held_ = false;
+    Time now_ = 0;
+    std::uint64_t version_ = 0, next_request_ = 0, next_task_ = 0;
+    std::uint64_t delivered_ = 0, denied_ = 0, errored_ = 0;
+    std::vector<Volume> volumes_;
+    std::vector<WorkloadFor> workloads_;
+    std::map<ClientId, std::unique_ptr<Client>> clients_;
+    std::map<RequestNo, Request> requests_;
+    std::map<TaskId, Task> tasks_;
+    std::map<AlarmId, Time> alarms_;
+    std::map<NodeId, std::string> addresses_; // of the list being told
+    std::deque<ShotOver> overs_;
+    std::set<ClientId> touched_; // with something to send
+    bool stirred_ = false; // the decisions were told something since they last settled
+};
+
+} // namespace knotvane::edge
--- a/src/frames/frames.hpp
+++ b/src/frames/frames.hpp
@@ -25,7 +25,8 @@
 // The order is that on the wire.
 enum class Status : std::uint16_t { ok, error, full, too_late, bad_checksum, misdirected, called_off };
 
-inline constexpr std::uint8_t flag_durable = 1; // the answer comes after the write is durable
+inline constexpr std::uint8_t flag_durable = 1;  // the answer comes after the write is durable
+inline constexpr std::uint8_t flag_numbered = 2; // (life, number) is a mark: a repeat of it is dropped
 inline constexpr std::size_t header_size = 84;
 // The largest payload of a frame: an edge cuts tasks smaller; past it a peer is not believed.
 inline constexpr std::uint32_t most_payload = 32u << 20;
--- a/src/nbd/server.cpp
+++ b/src/nbd/server.cpp
@@ -51,7 +51,16 @@
     if (at_ > in_.size() / 2) in_.erase(0, at_), at_ = 0;
 }
 
+void Session::hold(bool held) {
+    held_ = held;
+    if (!held) bytes({});
+}
+
 bool Session::step() {
+    if (leaving_) {
+        if (flying_.empty()) end_with("");
+        return false;
+    }
     if (skip_ > 0) {
         auto n = static_cast<std::size_t>(std::min<std::uint64_t>(skip_, in_.size() - at_));
         at_ += n, skip_ -= n;
@@ -236,8 +245,8 @@
     auto cookie = get<std::uint64_t>(in, 8), offset = get<std::uint64_t>(in, 16);
     auto length = get<std::uint32_t>(in, 24);
     if (command == cmd_disc) {
-        end_with("");
-        return false;
+        leaving_ = true; // all that is at work is finished first
+        return true;
     }
     std::size_t payload = 0;
     if (command == cmd_write) {
--- a/src/nbd/server.hpp
+++ b/src/nbd/server.hpp
@@ -53,7 +53,9 @@
     std::string take_out();
     std::size_t out_waiting() const { return out_.size(); }
     // Input is kept back until requests end: the shell should stop reading.
-    bool choked() const { return !over_ && flying_.size() >= most_flying_; }
+    bool choked() const { return !over_ && (held_ || flying_.size() >= most_flying_); }
+    // Keeps input back, or takes it again, for reasons of the caller's own.
+    void hold(bool held);
     bool over() const { return over_; }
     std::size_t flying() const { return flying_.size(); }
     bool is_flying(RequestId id) const { return flying_.contains(id); }
@@ -97,7 +99,7 @@
     Asked &asked_;
     std::uint32_t most_flying_, most_request_;
     Phase phase_ = Phase::flags;
-    bool over_ = false, stepping_ = false, no_zeroes_ = false, structured_ = false, allocation_ = false;
+    bool over_ = false, stepping_ = false, held_ = false, leaving_ = false, no_zeroes_ = false, structured_ = false, allocation_ = false;
     std::string allocation_of_; // the export for which the context was chosen
     std::string in_, out_;
     std::size_t at_ = 0;    // where in `in_` the next record begins
--- a/src/node/disk.cpp
+++ b/src/node/disk.cpp
@@ -179,17 +179,19 @@
             return answer(now, ask, frames::Status::bad_checksum);
         break;
     case frames::Kind::write:
-    case frames::Kind::zero:
+    case frames::Kind::zero: {
         // A copy that was delayed past what its edge waits for must not write over what came later; one whose
         // twin was done must not be done again. Both hold here, at the moment of the work, and nowhere else.
         if (ask.not_after > 0 && now > ask.not_after) return answer(now, ask, frames::Status::too_late);
-        if (ask.number > 0 && store_.was_done(ask.life, ask.number, now)) break;
+        bool numbered = (ask.flags & frames::flag_numbered) != 0;
+        if (numbered && store_.was_done(ask.life, ask.number, now)) break;
         well = ask.kind == frames::Kind::write ? store_.write(ask.volume, ask.offset, ask.payload)
                                                : store_.zero(ask.volume, ask.offset, ask.length);
         if (!well) return answer(now, ask, frames::Status::error);
-        if (ask.number > 0) store_.remember(ask.life, ask.number, ask.not_after, now);
+        if (numbered) store_.remember(ask.life, ask.number, ask.not_after, now);
         if (ask.flags & frames::flag_durable) store_.flush();
         break;
+    }
     case frames::Kind::flush: store_.flush(); break;
     case frames::Kind::status:
         for (auto [length, data] : store_.runs(ask.volume, ask.offset, ask.length))
--- a/tests/nbd/server_test.cpp
+++ b/tests/nbd/server_test.cpp
@@ -160,6 +160,14 @@
         p.session.done(p.did.ids[0]);
         CHECK(p.session.take_out().substr(16) == std::string(512, 'a') + std::string(512, 'b'));
     }
+    TEST_CASE("a good-bye is taken when all that is at work has ended") {
+        Opened o;
+        o.session.bytes(request(cmd_read, 1, 0, 512) + request(cmd_disc, 2, 0, 0) + request(cmd_read, 3, 0, 512));
+        CHECK_FALSE(o.session.over());
+        o.session.done(o.did.ids[0]);
+        CHECK(o.session.over());
+        CHECK(o.did.lines == std::vector<std::string>{"read 0+512", "left "});
+    }
     TEST_CASE("a request ends once") {
         Opened o;
         o.session.bytes(request(cmd_read, 9, 0, 512));
--- a/tests/node/helpers.hpp
+++ b/tests/node/helpers.hpp
@@ -48,7 +48,8 @@
     }
     void write(Time now, ConnId c, std::uint64_t tag, std::uint64_t number, Time not_after, char fill,
                std::uint64_t offset = 0, std::uint32_t length = 512, std::uint8_t flags = 0) {
-        disk.bytes(now, c, frames::make(frames::Kind::write, flags, {}, tag, VolumeId{5}, offset, length, 1000,
+        disk.bytes(now, c, frames::make(frames::Kind::write,
+                                        static_cast<std::uint8_t>(flags | (number > 0 ? frames::flag_numbered : 0)), {}, tag, VolumeId{5}, offset, length, 1000,
                                         9, number, not_after, ShardId{0}, std::string(length, fill)));
     }
     void read(Time now, ConnId c, std::uint64_t tag, std::uint64_t offset = 0, std::uint32_t length = 512) {
