--- /dev/null
+++ b/src/cli/load.cpp
@@ -0,0 +1,5 @@
+#include "cli/commands.hpp"
+namespace knotvane::cli {
+void add_load(CLI::App &, int &) {}
+void add_days(CLI::App &, int &) {}
+}
--- /dev/null
+++ b/src/edge/nodelist.hpp
@@ -0,0 +1,33 @@
+// The list of nodes from a file: whole or not at all.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/ids.hpp"
+#include "core/node.hpp"
+#include "core/time.hpp"
+
+namespace knotvane::edge {
+
+struct ListedNode {
+    NodeId id;
+    std::string address;
+    ShardId shard;
+    ZoneId zone;
+    NodeState state;
+    Time started; // epoch nanoseconds
+};
+
+struct NodeList {
+    std::uint64_t version = 0;
+    std::vector<ListedNode> nodes;
+};
+
+// Reads a list from text; `name` is what faults call it. With any fault the list is empty: a file that is cut
+// short, counts wrong or contradicts itself is none.
+NodeList read_nodes(const std::string &name, const std::string &text, std::vector<std::string> &faults);
+// The text that read_nodes reads.
+std::string write_nodes(const NodeList &list);
+
+} // namespace knotvane::edge
--- /dev/null
+++ b/src/edge/server.cpp
@@ -0,0 +1,145 @@
+#include "edge/server.hpp"
+
+#include "edge/settings.hpp"
+#include "log/log.hpp"
+
+namespace knotvane::edge {
+
+Server::Server(loop::Loop &loop, settings::File &file,
+               const std::function<std::unique_ptr<Scheduler>(Actions &, std::uint64_t)> &scheduler)
+    : loop_(loop) {
+    std::string listen;
+    std::uint64_t seed = 0;
+    read_identity(file, [&](std::uint64_t id, std::uint32_t, std::uint32_t, std::string at, std::string nodes,
+                            std::uint64_t s) { id_ = id, listen = at, nodes_path_ = nodes, seed = s; });
+    read_layout(file, [&](std::uint64_t extent, std::uint64_t span, std::uint64_t unit, std::vector<ShardId> shards) {
+        core_ = std::make_unique<Core>(
+            *this, [&](Actions &a) { return scheduler(a, seed + id_); }, id_,
+            static_cast<std::uint64_t>(loop::now()), extent, span, unit, std::move(shards));
+    });
+    read_service(file, core_.get());
+    core_->ready(loop::now());
+    read_list();
+    watch_ = std::make_unique<loop::Watch>(loop_, nodes_path_, [this] { read_list(); });
+    listener_ = std::make_unique<loop::Listener>(loop_, listen, [this](std::shared_ptr<loop::Socket> s) {
+        ClientId id{++next_client_};
+        clients_[id] = s;
+        s->on_bytes = [this, id](std::string_view in) { core_->client_bytes(loop::now(), id, in); };
+        s->on_written = [this, id](std::size_t n) { core_->client_written(loop::now(), id, n); };
+        s->on_gone = [this, id] {
+            clients_.erase(id);
+            core_->client_gone(loop::now(), id);
+        };
+        s->start();
+        core_->client_came(loop::now(), id);
+    });
+    loop_.at_end([this] { return end_of_moment(); });
+}
+Server::~Server() {
+    loop_.at_end(nullptr);
+    for (auto &[id, s] : clients_) s->close(true);
+    for (auto &[id, s] : links_) s->close(true);
+}
+
+void Server::read_list() {
+    std::string fault;
+    auto text = settings::File::slurp(nodes_path_, fault);
+    std::vector<std::string> faults;
+    if (!fault.empty()) faults.push_back(fault);
+    NodeList list;
+    if (faults.empty()) list = read_nodes(nodes_path_, text, faults);
+    if (!faults.empty()) {
+        std::string all;
+        for (auto &f : faults) all += f + "\n";
+        // Each rejection is reported once, not at every look at the same file.
+        if (all != last_faults_)
+            for (auto &f : faults) log::line(log::error, "node list refused, the last one stays", {{"fault", f}});
+        last_faults_ = all;
+        return;
+    }
+    last_faults_.clear();
+    if (!core_->list_begins(loop::now(), list.version)) return;
+    for (auto &n : list.nodes) core_->node_listed(n.id, n.address, n.shard, n.zone, n.state, n.started);
+    core_->list_ends();
+    log::line(log::info, "node list taken",
+              {{"edge", std::to_string(id_)},
+               {"version", std::to_string(list.version)},
+               {"nodes", std::to_string(list.nodes.size())}});
+    if (on_list) on_list(list);
+}
+
+Time Server::end_of_moment() {
+    // What was written makes room for more, which is sent in the same moment; a few rounds do.
+    for (int round = 0; round < 4; ++round) {
+        core_->settle(loop::now());
+        if (client_out_.empty() && link_out_.empty()) break;
+        for (auto id : std::exchange(link_out_, {}))
+            if (auto it = links_.find(id); it != links_.end()) {
+                auto s = it->second;
+                s->flush();
+            }
+        for (auto id : std::exchange(client_out_, {}))
+            if (auto it = clients_.find(id); it != clients_.end()) {
+                auto s = it->second;
+                s->flush();
+            }
+    }
+    return core_->next_due();
+}
+
+void Server::connect(LinkId id, const std::string &address) {
+    auto s = std::make_shared<loop::Socket>(loop_);
+    links_[id] = s;
+    s->on_bytes = [this, id](std::string_view in) { core_->link_bytes(loop::now(), id, in); };
+    s->on_written = [this, id](std::size_t n) { core_->link_written(loop::now(), id, n); };
+    s->on_gone = [this, id] {
+        links_.erase(id);
+        core_->link_gone(loop::now(), id);
+    };
+    s->connect(address, [this, id](bool well) {
+        if (!links_.contains(id)) return;
+        if (well) return core_->link_up(loop::now(), id);
+        auto socket = links_.at(id);
+        links_.erase(id);
+        socket->close();
+        core_->link_failed(loop::now(), id);
+    });
+}
+void Server::send(LinkId id, std::string bytes) {
+    if (auto it = links_.find(id); it != links_.end()) it->second->send(std::move(bytes)), link_out_.insert(id);
+}
+void Server::close(LinkId id) {
+    auto it = links_.find(id);
+    if (it == links_.end()) return;
+    auto s = it->second;
+    links_.erase(it);
+    s->close();
+}
+void Server::send_client(ClientId id, std::string bytes) {
+    if (auto it = clients_.find(id); it != clients_.end())
+        it->second->send(std::move(bytes)), client_out_.insert(id);
+}
+void Server::close_client(ClientId id) {
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    auto s = it->second;
+    clients_.erase(it);
+    s->close_when_sent();
+}
+void Server::hold_client(ClientId id, bool hold) {
+    if (auto it = clients_.find(id); it != clients_.end()) it->second->hold(hold);
+}
+void Server::say(std::string text) { log::line(log::warn, text, {{"edge", std::to_string(id_)}}); }
+void Server::shot_ended(TaskId task, NodeId node, Outcome how, Time took) {
+    if (!log::shown(log::debug)) return;
+    static constexpr const char *names[] = {"answered", "error", "full", "timed_out", "unreachable",
+                                            "reset", "called_off", "unsent"};
+    log::line(log::debug, "shot ended",
+              {{"edge", std::to_string(id_)},
+               {"task", std::to_string(task.value)},
+               {"node", std::to_string(node.value)},
+               {"how", names[static_cast<int>(how)]},
+               {"us", std::to_string(took / us)}});
+}
+
+} // namespace knotvane::edge
--- /dev/null
+++ b/src/edge/settings.cpp
@@ -0,0 +1,194 @@
+#include "edge/settings.hpp"
+
+#include <limits>
+#include <map>
+
+#include <xxhash.h>
+
+namespace knotvane::edge {
+namespace {
+
+constexpr double any = std::numeric_limits<double>::max();
+
+// What is told of a plan or a volume by its name elsewhere in the file.
+struct Named {
+    std::map<std::string, PlanId> plans;
+    std::map<std::string, VolumeId> volumes;
+};
+
+void read_plans(settings::File &file, Core *core, Named &named) {
+    std::uint32_t next = 0;
+    for (auto *s : file.all("plan")) {
+        PlanId id{next++};
+        named.plans[s->name()] = id;
+        double weight = s->number("weight", 0, 1e6), usual = s->number("usual", 0, any, 0),
+               reserve = s->number("reserve", 0, any, 0), price = s->number("price", 0, 1e6, 1),
+               rate = s->number("limit", 0, any, 0), burst = s->number("burst", 0, any, 0);
+        if (weight <= 0)
+            s->fault("weight", reserve > 0 ? "a plan with a reserve can't weigh nothing: its reserve would not be met"
+                                           : "expected more than 0");
+        if (rate > 0 && reserve > rate) s->fault("reserve", "expected at most the limit");
+        if ((rate > 0) != (burst > 0)) s->fault("burst", "limit and burst go together");
+        if (!core) continue;
+        core->scheduler().add_plan(id, weight, usual, reserve, price);
+        if (rate > 0) core->scheduler().set_limit(id, rate, burst);
+    }
+    if (named.plans.empty()) file.fault(0, "a section [plan NAME] is missing");
+}
+
+void read_volumes(settings::File &file, Core *core, Named &named) {
+    std::map<std::uint64_t, std::string> ids;
+    for (auto *s : file.all("volume")) {
+        std::uint64_t by_name = XXH3_64bits(s->name().data(), s->name().size());
+        VolumeId id{s->count("id", 0, std::numeric_limits<std::int64_t>::max(), by_name)};
+        if (s->name().empty()) s->fault("", "expected a section like [volume members]");
+        if (auto [it, is_new] = ids.try_emplace(id.value, s->name()); !is_new)
+            s->fault("id", "volume '" + it->second + "' has it, too");
+        named.volumes[s->name()] = id;
+        auto size = s->bytes("size");
+        auto least = s->bytes("align", 512);
+        auto plan = s->text("plan");
+        auto hosts = static_cast<std::uint32_t>(s->count("hosts", 1, 100000, 1));
+        if (least < 512 || least > 65536 || (least & (least - 1)) != 0)
+            s->fault("align", "expected a power of two from 512 to 64KiB");
+        else if (size == 0 || size % least != 0)
+            s->fault("size", "expected a multiple of align, " + std::to_string(least) + ", above 0");
+        if (!named.plans.contains(plan)) s->fault("plan", "no section [plan " + plan + "]");
+        if (core)
+            core->add_volume(id, s->name(), size, static_cast<std::uint32_t>(least), named.plans.at(plan), hosts);
+    }
+    if (named.volumes.empty()) file.fault(0, "a section [volume NAME] is missing");
+}
+
+void read_workloads(settings::File &file, Core *core, Named &named) {
+    std::uint32_t next = 0;
+    bool all_of[5] = {};
+    for (auto *s : file.all("workload")) {
+        WorkloadId id{next++};
+        auto command = s->choice("command", {"read", "write", "zero", "flush", "status"}, 0);
+        bool writes = command == 1 || command == 2;
+        auto up_to = s->bytes("up_to", std::numeric_limits<std::uint32_t>::max());
+        std::string volume = s->text("volume", "");
+        Time due = s->time("due"), timeout = s->time("client_timeout");
+        double value = s->number("value", 0, 1e9, 1), late = s->number("late_part", 0, 1, 0);
+        auto repeat = static_cast<Repeat>(s->choice("repeat", {"reissuable", "numbered", "at_most_once"}, 0));
+        Time window = s->time("window", 0), rest = s->time("key_rest", 0);
+        if (due <= 0 || due > timeout) s->fault("due", "expected above 0 and at most client_timeout");
+        if ((repeat == Repeat::numbered) != (window > 0))
+            s->fault("window", "numbered workloads have a window, and no others");
+        if (repeat == Repeat::numbered && !writes) s->fault("repeat", "only writes and zeroes are numbered");
+        // A copy that may still run must not meet a later write to the same bytes (docs/design/gateway.md).
+        Time longest = window > 0 ? window : timeout;
+        if (writes && rest < longest)
+            s->fault("key_rest", "expected at least how long a shot may still run, " +
+                                     std::to_string(longest / ms) + "ms (window, or client_timeout without one)");
+        if (!writes && rest > 0) s->fault("key_rest", "only writes and zeroes go by turns");
+        if (!volume.empty() && !named.volumes.contains(volume))
+            s->fault("volume", "no section [volume " + volume + "]");
+        all_of[command] |= volume.empty() && !s->has("up_to");
+        if (!core) continue;
+        core->scheduler().add_workload(id, due, timeout, value, late);
+        core->scheduler().set_repeat(id, repeat, Group::shard, window);
+        if (writes) core->scheduler().set_turns(id, rest);
+        core->add_workload(id, static_cast<Command>(command), static_cast<std::uint32_t>(up_to),
+                           volume.empty() ? std::optional<VolumeId>{} : named.volumes.at(volume), timeout,
+                           repeat == Repeat::numbered ? window : 0);
+    }
+    static constexpr const char *commands[] = {"read", "write", "zero", "flush", "status"};
+    for (int i = 0; i < 5; ++i)
+        if (!all_of[i])
+            file.fault(0, std::string("no [workload NAME] is for every ") + commands[i] +
+                              ": one without up_to and volume is needed");
+}
+
+} // namespace
+
+void read_identity(settings::File &file,
+                   const std::function<void(std::uint64_t, std::uint32_t, std::uint32_t, std::string, std::string,
+                                            std::uint64_t)> &tell) {
+    auto &s = file.one("edge", true);
+    auto id = s.count("id", 0, 1 << 20);
+    auto edges = s.count("edges", 1, 1 << 20, 1);
+    if (id >= edges) s.fault("id", "expected below edges, " + std::to_string(edges) + ": they are counted from 0");
+    tell(id, static_cast<std::uint32_t>(edges), static_cast<std::uint32_t>(s.count("zone", 0, 255, 0)),
+         s.text("listen", "127.0.0.1:10809"), s.text("nodes"),
+         s.count("seed", 0, std::numeric_limits<std::int64_t>::max(), 1));
+}
+
+void read_layout(settings::File &file,
+                 const std::function<void(std::uint64_t, std::uint64_t, std::uint64_t, std::vector<ShardId>)> &tell) {
+    auto &s = file.one("layout", true);
+    auto extent = s.bytes("extent"), span = s.bytes("span"), unit = s.bytes("unit");
+    auto shards = s.count("shards", 1, 65535);
+    if (span < 4096 || (span & (span - 1)) != 0)
+        s.fault("span", "expected a power of two from 4KiB");
+    if (span == 0 || extent % std::max<std::uint64_t>(span, 1) != 0 || extent == 0)
+        s.fault("extent", "expected a multiple of span");
+    if (extent > 8 << 20) s.fault("extent", "expected at most 8MiB: a task is not larger than one");
+    if (unit == 0) s.fault("unit", "expected above 0");
+    std::vector<ShardId> all;
+    for (std::uint64_t i = 0; i < shards; ++i) all.emplace_back(static_cast<std::int32_t>(i));
+    tell(extent, span, unit, std::move(all));
+}
+
+void read_service(settings::File &file, Core *core) {
+    auto *to = core ? &core->scheduler() : nullptr;
+    auto &edge = file.one("edge", true);
+    auto &layout = file.one("layout", true);
+    if (to) {
+        to->set_place(PeerId{static_cast<std::uint32_t>(edge.count("id", 0, 1 << 20))},
+                      static_cast<std::uint32_t>(edge.count("edges", 1, 1 << 20, 1)),
+                      ZoneId{static_cast<std::uint32_t>(edge.count("zone", 0, 255, 0))});
+        to->set_clock(ms, 0);
+    }
+    auto &units = file.one("units", false);
+    double largest = 1 + static_cast<double>(layout.bytes("extent", 1)) /
+                             static_cast<double>(std::max<std::uint64_t>(1, layout.bytes("unit", 1)));
+    double mean = units.number("mean", 0, any, 2), share = units.number("share_worth", 0, 1, 0.35),
+           spare = units.number("spare_worth", 0, 1, 0.08);
+    if (to) to->set_units(mean, largest, share, spare);
+    Named named;
+    read_plans(file, core, named);
+    read_volumes(file, core, named);
+    read_workloads(file, core, named);
+    auto &shots = file.one("shots", false);
+    auto most = shots.count("most", 1, 16, 3);
+    bool parallel = shots.flag("parallel", false), off = shots.flag("call_off", true);
+    double each = shots.number("further_each", 0, 16, 0), free = shots.number("further_free", 0, 1e9, 0);
+    Time span = shots.time("further_span", 0), denial = shots.time("longest_wait", sec);
+    bool marked = shots.flag("clients_mark_repeats", false);
+    if ((each > 0 || free > 0) != (span > 0)) shots.fault("further_span", "goes with further_each or further_free");
+    auto &nodes = file.one("nodes", false);
+    Time grace = nodes.time("drain_grace", 250 * ms);
+    double cold_units = nodes.number("cold_units", 0, any, 0), start = nodes.number("start_part", 0, 1, 1);
+    Time cold_span = nodes.time("cold_span", 0), warm = nodes.time("warm_after", 0);
+    if ((cold_units > 0) != (cold_span > 0) || (cold_units > 0) != (warm > 0))
+        nodes.fault("cold_units", "cold_units, cold_span and warm_after go together");
+    auto each_links = nodes.count("connections", 1, 64, 2);
+    Time connect = nodes.time("connect_timeout", 250 * ms), stall = nodes.time("stall", 300 * ms),
+         idle = nodes.time("idle_close", 60 * sec);
+    auto most_out = nodes.bytes("most_unsent", 1 << 20);
+    auto &door = file.one("door", false);
+    auto flying = door.count("requests_each", 1, 4096, 128);
+    auto request = door.bytes("largest_request", 4 << 20), bytes = door.bytes("most_bytes", 512 << 20);
+    auto tasks = door.count("most_tasks", 16, 10000000, 16384);
+    if (request < 64 << 10 || request > 32 << 20) door.fault("largest_request", "expected 64KiB to 32MiB");
+    if (bytes < 2 * request) door.fault("most_bytes", "expected at least twice the largest request");
+    if (!to) return;
+    to->set_shots(static_cast<std::uint32_t>(most), parallel, off);
+    if (span > 0) to->set_further_shots(each, free, span);
+    to->set_denials(denial);
+    to->set_clients(marked);
+    to->set_list(false, 0, grace);
+    to->set_cold(cold_units, cold_span, warm, start);
+    core->set_links(each_links, connect, stall, idle, most_out);
+    core->set_door(static_cast<std::uint32_t>(flying), static_cast<std::uint32_t>(request), tasks, bytes);
+}
+
+void check(settings::File &file) {
+    read_identity(file, [](auto...) {});
+    read_layout(file, [](auto...) {});
+    read_service(file, nullptr);
+}
+
+} // namespace knotvane::edge
--- /dev/null
+++ b/src/node/server.cpp
@@ -0,0 +1,117 @@
+#include "node/server.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "log/log.hpp"
+
+namespace knotvane::node {
+
+void read_service(settings::File &file, Disk *disk) {
+    constexpr double any = std::numeric_limits<double>::max();
+    auto &speed = file.one("speed", false);
+    Time unit = speed.time("unit_time", 0);
+    auto cores = speed.count("cores", 1, 1024, 1), slots = speed.count("slots", 1, 65536, 4),
+         room = speed.count("room", 0, 1000000, 64);
+    auto &cold = file.one("cold", false);
+    double start = cold.number("start_part", 0.001, 1, 1), multiple = cold.number("multiple", 0, any, 0);
+    Time warm = cold.time("warm_after", 0), span = cold.time("span", 0);
+    if (multiple > 0 && span <= 0) cold.fault("multiple", "needs a span");
+    auto &rest = file.one("pauses", false);
+    Time every = rest.time("every", 0), length = rest.time("length", 0);
+    double part = rest.number("put_off_part", 0, 1, 0);
+    Time put_off = rest.time("put_off_every", 0);
+    if (!disk) return;
+    disk->set_speed(unit, static_cast<std::uint32_t>(cores), static_cast<std::uint32_t>(slots),
+                    static_cast<std::uint32_t>(room));
+    disk->set_cold(start, warm, span, multiple);
+    disk->set_pauses(every, length);
+    disk->set_put_off(part, put_off);
+}
+
+namespace {
+void read_identity(settings::File &file, std::uint64_t &id, std::uint64_t &shard, std::string &listen,
+                   std::string &store, bool &sync, std::uint64_t &seed) {
+    auto &s = file.one("node", true);
+    id = s.count("id", 1, std::numeric_limits<std::int64_t>::max());
+    shard = s.count("shard", 0, 65535);
+    listen = s.text("listen", "127.0.0.1:0");
+    store = s.text("store");
+    sync = s.flag("sync", true);
+    seed = s.count("seed", 0, std::numeric_limits<std::int64_t>::max(), 1);
+}
+} // namespace
+
+void check(settings::File &file) {
+    std::uint64_t id, shard, seed;
+    std::string listen, store;
+    bool sync;
+    read_identity(file, id, shard, listen, store, sync, seed);
+    read_service(file, nullptr);
+}
+
+Server::Server(loop::Loop &loop, settings::File &file) : loop_(loop) {
+    std::uint64_t id, shard, seed;
+    std::string listen_on, store;
+    bool sync;
+    read_identity(file, id, shard, listen_on, store, sync, seed);
+    id_ = NodeId{id}, shard_ = ShardId{static_cast<std::int32_t>(shard)}, address_ = listen_on;
+    medium_ = file_medium(store, sync);
+    store_ = std::make_unique<Store>(*medium_);
+    disk_ = std::make_unique<Disk>(id_, shard_, *store_, *this, seed, loop::now());
+    read_service(file, disk_.get());
+    listen(true);
+    loop_.at_end([this] { return end_of_moment(); });
+}
+Server::~Server() {
+    loop_.at_end(nullptr);
+    for (auto &[id, s] : conns_) s->close(true);
+}
+
+void Server::listen(bool open) {
+    if (!open) {
+        listener_.reset();
+        return;
+    }
+    if (listener_) return;
+    listener_ = std::make_unique<loop::Listener>(loop_, address_, [this](std::shared_ptr<loop::Socket> s) {
+        ConnId conn{++next_conn_};
+        conns_[conn] = s;
+        s->on_bytes = [this, conn](std::string_view in) { disk_->bytes(loop::now(), conn, in); };
+        s->on_gone = [this, conn] {
+            conns_.erase(conn);
+            disk_->gone(loop::now(), conn);
+        };
+        s->start();
+        disk_->came(loop::now(), conn);
+    });
+    address_ = listener_->address(); // the same port again after a restart
+}
+void Server::send(ConnId conn, std::string bytes) {
+    if (auto it = conns_.find(conn); it != conns_.end()) it->second->send(std::move(bytes)), out_.insert(conn);
+}
+void Server::close(ConnId conn, bool reset) {
+    auto it = conns_.find(conn);
+    if (it == conns_.end()) return;
+    auto s = it->second;
+    conns_.erase(it);
+    if (reset)
+        s->close(true);
+    else
+        s->close_when_sent();
+}
+void Server::say(std::string text) { log::line(log::warn, text, {{"node", std::to_string(id_.value)}}); }
+
+void Server::stirred() { end_of_moment(); }
+
+Time Server::end_of_moment() {
+    disk_->tick(loop::now());
+    for (auto conn : std::exchange(out_, {}))
+        if (auto it = conns_.find(conn); it != conns_.end()) {
+            auto s = it->second;
+            s->flush();
+        }
+    return disk_->next_due();
+}
+
+} // namespace knotvane::node
