--- /dev/null
+++ b/src/cli/days.cpp
@@ -0,0 +1,99 @@
+#include "cli/commands.hpp"
+
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+
+#include <CLI/CLI.hpp>
+
+#include "day/day.hpp"
+#include "day/passthrough.hpp"
+#include "rules/figures.hpp"
+#include "settings/ini.hpp"
+
+namespace knotvane::cli {
+namespace {
+
+// Wires' times and the edge's own differ by what threads and sockets take on a busy machine.
+constexpr Time slack = 60 * ms;
+
+double msecs(Time t) { return static_cast<double>(t) / 1e6; }
+
+int judge(const std::string &path) {
+    rules::Judge judge(slack);
+    auto fault = rules::judge_file(path, judge);
+    if (!fault.empty()) {
+        std::fprintf(stderr, "%s\n", fault.c_str());
+        return 2;
+    }
+    std::printf("rules, judged from what passed on the sockets: %llu requests, %llu shots\n%s",
+                static_cast<unsigned long long>(judge.requests()), static_cast<unsigned long long>(judge.shots()),
+                rules::verdict(judge).c_str());
+    std::printf(rules::kept(judge) ? "every rule held\n" : "RULES WERE BROKEN\n");
+    return rules::kept(judge) ? 0 : 1;
+}
+
+int play(const std::string &path, const std::string &record, const std::string &policy) {
+    std::string fault;
+    auto text = settings::File::slurp(path, fault);
+    std::vector<std::string> faults;
+    if (!fault.empty()) faults.push_back(fault);
+    day::Script script;
+    if (faults.empty()) script = day::read_script(path, text, faults);
+    for (auto &f : faults) std::fprintf(stderr, "%s\n", f.c_str());
+    if (!faults.empty()) return 2;
+    auto pattern = (std::filesystem::temp_directory_path() / "knotvane-day-XXXXXX").string();
+    if (!mkdtemp(pattern.data())) throw std::runtime_error("no folder can be made at " + pattern);
+    auto recording = record.empty() ? pattern + "/day.recording" : record;
+    auto tallies = day::play(script, pattern, recording, [&](Actions &a, std::uint64_t seed) {
+        return policy == "none" ? day::make_passthrough(a) : make_scheduler(a, seed);
+    });
+    std::printf("%-18s %8s %8s %8s %8s %8s %8s %9s %9s %8s\n", "load", "asked", "good", "in time", "denied", "errored",
+                "lost", "p50 ms", "p99 ms", "value");
+    double value = 0, due = 0;
+    for (auto &[name, t] : tallies) {
+        auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
+        std::printf("%-18s %8llu %8llu %8llu %8llu %8llu %8llu %9.2f %9.2f %7.1f%%\n", name.c_str(), n(t.asked),
+                    n(t.good), n(t.in_time), n(t.denied), n(t.errored), n(t.lost), msecs(load::quantile(t.took, 0.5)),
+                    msecs(load::quantile(t.took, 0.99)), t.value_due > 0 ? 100 * t.value / t.value_due : 0);
+        value += t.value, due += t.value_due;
+    }
+    std::printf("value in time by second, percent:\n");
+    for (auto &[name, t] : tallies) {
+        std::printf("%-18s", name.c_str());
+        for (auto [got, asked] : t.course)
+            asked > 0 ? std::printf(" %3.0f", 100 * got / asked) : std::printf("   .");
+        std::printf("\n");
+    }
+    std::printf("value delivered in time: %.1f%% of what was asked for\n", due > 0 ? 100 * value / due : 0);
+    int code = judge(recording);
+    if (!record.empty()) std::printf("recording: %s\n", record.c_str());
+    std::filesystem::remove_all(pattern);
+    return code;
+}
+
+} // namespace
+
+void add_days(CLI::App &app, int &code) {
+    struct Options {
+        std::string file, record, policy = "knotvane";
+        std::vector<std::string> recordings;
+    };
+    auto o = std::make_shared<Options>();
+    auto *d = app.add_subcommand("day", "play a scripted day on loopback and judge the rules from its recording");
+    d->add_option("FILE", o->file, "the day's script (INI)")->required();
+    d->add_option("--record", o->record, "keep the recording there");
+    d->add_option("--policy", o->policy, "none: send everything at once, the baseline to compare with")
+        ->check(CLI::IsMember({"knotvane", "none"}));
+    d->footer("Exit code 0 only if every rule held.\nExample: knotvane day days/bad-day.ini --record /tmp/bad.recording");
+    d->callback([o, &code] { code = play(o->file, o->record, o->policy); });
+    auto *r = app.add_subcommand("rules", "judge the seven rules from recordings alone");
+    r->add_option("RECORDING", o->recordings, "files that `day --record` wrote")->required();
+    r->footer("Example: knotvane rules /tmp/bad.recording");
+    r->callback([o, &code] {
+        code = 0;
+        for (auto &path : o->recordings) code = std::max(code, judge(path));
+    });
+}
+
+} // namespace knotvane::cli
--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -1,5 +1,4 @@
 #include "cli/commands.hpp"
 namespace knotvane::cli {
 void add_load(CLI::App &, int &) {}
-void add_days(CLI::App &, int &) {}
 }
--- /dev/null
+++ b/src/day/day.cpp
@@ -0,0 +1,291 @@
+#include "day/day.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "edge/settings.hpp"
+#include "log/log.hpp"
+#include "nbd/wire.hpp"
+#include "record/recording.hpp"
+#include "relay/relay.hpp"
+#include "rules/figures.hpp"
+#include "settings/ini.hpp"
+
+namespace knotvane::day {
+namespace {
+
+constexpr const char *node_faults[] = {"mute", "hang", "slow", "reset", "refuse", "full",
+                                       "fail", "cut",  "garble", "late", "rot"};
+constexpr const char *others[] = {"restart", "drain", "hold", "split", "swallow", "sever", "late_list"};
+
+// The text of the sections of some kinds, headers included.
+std::string part_of(const std::string &text, std::initializer_list<std::string_view> kinds) {
+    std::istringstream in(text);
+    std::string line, out;
+    bool take = false;
+    while (std::getline(in, line)) {
+        if (!line.empty() && line[0] == '[') {
+            auto kind = line.substr(1, line.find_first_of(" ]") - 1);
+            take = std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+        }
+        if (take) out += line + "\n";
+    }
+    return out;
+}
+
+} // namespace
+
+Script read_script(const std::string &name, const std::string &text, std::vector<std::string> &faults) {
+    Script s;
+    s.scheduling = part_of(text, {"plan", "volume", "workload", "shots", "units", "nodes", "door"});
+    s.service = part_of(text, {"speed", "cold", "pauses"});
+    if (s.scheduling.empty()) s.scheduling = fleet::default_scheduling();
+    if (s.service.empty()) s.service = fleet::default_service();
+    settings::File file(name, part_of(text, {"day", "load", "trouble"}));
+    // Settings of the parts are checked as the parts will read them.
+    settings::File edge(name + " (edge's part)", fleet::edge_settings(0, 1, "127.0.0.1:0", "x", 1, s.scheduling));
+    settings::File node(name + " (nodes' part)", fleet::node_settings(1, 0, "127.0.0.1:0", "x", s.service));
+    edge::check(edge);
+    node::check(node);
+    for (auto *f : {&edge, &node})
+        for (auto &what : f->faults()) faults.push_back(what);
+    auto &day = file.one("day", true);
+    s.length = day.time("length"), s.seed = day.count("seed", 0, ~0u, 1);
+    s.nodes = day.count("nodes", 1, 64, 3), s.edges = day.count("edges", 1, 64, 1);
+    std::uint64_t n = 0;
+    for (auto *l : file.all("load")) {
+        Load x;
+        x.name = l->name(), x.edge = l->count("edge", 0, s.edges - 1, 0);
+        x.shape.volume = l->text("volume");
+        x.shape.connections = static_cast<std::uint32_t>(l->count("connections", 1, 4096, 1));
+        x.shape.flying = static_cast<std::uint32_t>(l->count("flying", 1, 4096, 8));
+        x.shape.rate = l->number("rate", 0, 1e7, 0), x.shape.reads = l->number("reads", 0, 1, 1);
+        x.shape.flushes = l->number("flushes", 0, 1, 0);
+        x.shape.least = static_cast<std::uint32_t>(l->bytes("least", 4096));
+        x.shape.most = static_cast<std::uint32_t>(l->bytes("most", x.shape.least));
+        x.shape.from = l->bytes("from", 0), x.shape.region = l->bytes("region", 16 << 20);
+        x.shape.begin = l->time("at", 0), x.shape.length = l->time("length", s.length);
+        x.shape.leave_every = l->time("leave_every", 0), x.shape.again_at_once = l->number("again_at_once", 0, 1, 0);
+        x.shape.structured = l->flag("structured", true);
+        x.shape.seed = s.seed * 1000 + ++n;
+        x.due = l->time("due", 300 * ms), x.write_due = l->time("write_due", 500 * ms);
+        x.value = l->number("value", 0, 1e9, 2), x.write_value = l->number("write_value", 0, 1e9, 3);
+        if (x.shape.least < 512 || x.shape.most < x.shape.least || x.shape.region < x.shape.most)
+            l->fault("least", "expected 512 or more, at most 'most', which is at most 'region'");
+        s.loads.push_back(std::move(x));
+    }
+    for (auto *t : file.all("trouble")) {
+        Trouble x;
+        x.at = t->time("at"), x.length = t->time("length", sec);
+        x.kind = t->text("kind");
+        x.node = t->count("node", 0, s.nodes - 1, 0);
+        x.edge = t->has("edge") ? t->count("edge", 0, s.edges - 1) : ~std::size_t{0};
+        x.count = t->count("count", 0, 1000000, 0), x.size = t->number("size", 0, 1e6, 0);
+        x.lose = t->flag("lose", false);
+        bool known = std::find(std::begin(node_faults), std::end(node_faults), x.kind) != std::end(node_faults) ||
+                     std::find(std::begin(others), std::end(others), x.kind) != std::end(others);
+        if (!known) {
+            std::string all;
+            for (auto *k : node_faults) all += std::string(k) + ", ";
+            for (auto *k : others) all += std::string(k) + (k == std::end(others)[-1] ? "" : ", ");
+            t->fault("kind", "expected one of " + all);
+        }
+        s.troubles.push_back(std::move(x));
+    }
+    std::stable_sort(s.troubles.begin(), s.troubles.end(), [](auto &a, auto &b) { return a.at < b.at; });
+    for (auto &f : file.faults()) faults.push_back(f);
+    return s;
+}
+
+namespace {
+
+struct Stage {
+    const Script &script;
+    record::Writer writer;
+    fleet::Worker relay_worker;
+    std::unique_ptr<relay::Relay> relay;
+    fleet::Fleet fleet;
+    std::vector<std::pair<Time, std::function<void()>>> later;
+
+    Stage(const Script &s, const std::string &dir, const std::string &recording, const fleet::MakeScheduler &make)
+        : script(s), writer(recording), fleet(dir, s.nodes, s.edges, 0, s.scheduling, s.service, make) {
+        on_relay([&] {
+            relay = std::make_unique<relay::Relay>(relay_worker.loop(), writer);
+            // The layout of fleet::edge_settings.
+            relay->put(record::Kind::figures, 0, 0, 0,
+                       rules::figures_of(s.scheduling, s.service, 256 << 10, 64 << 10));
+        });
+        fleet.address_for = [this](std::size_t edge, NodeId node, const std::string &address) {
+            auto &front = fronts_[{edge, node}];
+            if (front.empty()) on_relay([&] { front = relay->front_of_node(edge, node, address); });
+            return front;
+        };
+    }
+    ~Stage() {
+        on_relay([&] {
+            relay.reset();
+            writer.put(loop::now(), record::Kind::end, 0, 0, 0, {});
+            writer.flush();
+        });
+    }
+    void on_relay(const std::function<void()> &call) { relay_worker.run(call); }
+    void at(Time when, std::function<void()> call) {
+        auto it = std::find_if(later.begin(), later.end(), [&](auto &l) { return l.first > when; });
+        later.insert(it, {when, std::move(call)});
+    }
+    // Writes the lists, to one edge or all, and records from then on what each edge was told.
+    void tell(std::size_t edge) {
+        if (edge == ~std::size_t{0}) {
+            for (std::size_t e = 0; e < fleet.edges(); ++e) tell(e);
+            return;
+        }
+        if (late_until_[edge] > loop::now()) {
+            if (!told_later_[edge]) {
+                told_later_[edge] = true;
+                at(late_until_[edge], [this, edge] { told_later_[edge] = false, tell(edge); });
+            }
+            return;
+        }
+        fleet.tell(edge);
+        on_relay([&] {
+            for (auto &n : fleet.list().nodes)
+                relay->put(record::Kind::told, edge, n.id.value, static_cast<std::uint64_t>(n.state));
+        });
+    }
+    void begin(const Trouble &t);
+
+    std::map<std::pair<std::size_t, NodeId>, std::string> fronts_;
+    std::map<std::size_t, Time> late_until_;
+    std::map<std::size_t, bool> told_later_;
+};
+
+void Stage::begin(const Trouble &t) {
+    Time now = loop::now(), until = now + t.length;
+    auto id = fleet.node_id(t.node);
+    log::line(log::info, "trouble", {{"kind", t.kind}, {"node", std::to_string(id.value)}});
+    on_relay([&] { relay->put(record::Kind::note, id.value, 0, 0, t.kind); });
+    auto fault = std::find(std::begin(node_faults), std::end(node_faults), t.kind);
+    if (fault != std::end(node_faults)) {
+        fleet.with_node(t.node, [&](node::Server &n) {
+            n.disk().fault(static_cast<node::Fault>(fault - std::begin(node_faults)), now, until, t.count, t.size);
+        });
+    } else if (t.kind == "restart") {
+        // Its connections end first: no answer of the life before can come after the loss was noted.
+        on_relay([&] { relay->block(id); });
+        fleet.with_node(t.node, [&](node::Server &n) {
+            n.listen(false);
+            n.disk().restart(loop::now(), t.lose);
+            n.listen(false);
+        });
+        on_relay([&] {
+            if (t.lose) relay->put(record::Kind::lost, id.value, 0, 0);
+        });
+        at(until, [this, node = t.node, id] {
+            Time started = 0;
+            fleet.with_node(node, [&](node::Server &n) {
+                n.disk().restart(loop::now(), false);
+                n.listen(true);
+                started = n.disk().started();
+            });
+            on_relay([&] {
+                relay->put(record::Kind::started, id.value, 0, 0);
+                relay->unblock(id);
+            });
+            fleet.list_as(id, NodeState::ready, started);
+            tell(~std::size_t{0});
+        });
+    } else if (t.kind == "drain") {
+        fleet.list_as(id, NodeState::draining, 0);
+        tell(~std::size_t{0});
+        at(until, [this, node = t.node, id] {
+            on_relay([&] { relay->block(id); });
+            fleet.list_as(id, NodeState::gone, 0);
+            fleet.replace(node);
+            on_relay([&] { relay->put(record::Kind::started, fleet.node_id(node).value, 0, 0); });
+            tell(~std::size_t{0});
+        });
+    } else if (t.kind == "late_list") {
+        for (std::size_t e = 0; e < fleet.edges(); ++e)
+            if (t.edge == ~std::size_t{0} || t.edge == e) late_until_[e] = until;
+    } else {
+        on_relay([&] {
+            std::uint64_t edge = t.edge;
+            if (t.kind == "hold") relay->hold(edge, id, until);
+            if (t.kind == "split") relay->split(edge, id, until);
+            if (t.kind == "swallow") relay->swallow(edge, id, until);
+            if (t.kind == "sever") relay->cut(edge, id);
+        });
+    }
+}
+
+} // namespace
+
+std::map<std::string, Tally> play(const Script &script, const std::string &dir, const std::string &recording,
+                                  const fleet::MakeScheduler &make) {
+    Stage stage(script, dir, recording, make);
+    stage.fleet.start();
+    stage.tell(~std::size_t{0});
+    fleet::Worker driver;
+    std::vector<std::unique_ptr<load::Stream>> streams;
+    std::vector<std::string> fronts(script.edges);
+    stage.on_relay([&] {
+        for (std::size_t e = 0; e < script.edges; ++e)
+            fronts[e] = stage.relay->front_of_edge(e, stage.fleet.edge_address(e));
+    });
+    driver.run([&] {
+        for (auto &l : script.loads) {
+            auto shape = l.shape;
+            shape.address = fronts[l.edge];
+            streams.push_back(std::make_unique<load::Stream>(driver.loop(), shape));
+        }
+    });
+    Time began = loop::now();
+    for (auto &t : script.troubles) stage.at(began + t.at, [&stage, t] { stage.begin(t); });
+    for (;;) {
+        bool over = loop::now() >= began + script.length && stage.later.empty();
+        driver.run([&] {
+            for (auto &s : streams) over = over && s->over();
+        });
+        if (over) break;
+        while (!stage.later.empty() && stage.later.front().first <= loop::now()) {
+            auto call = std::move(stage.later.front().second);
+            stage.later.erase(stage.later.begin());
+            call();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    std::map<std::string, Tally> out;
+    driver.run([&] {
+        for (std::size_t i = 0; i < streams.size(); ++i) {
+            auto &l = script.loads[i];
+            auto &t = out[l.name];
+            t.missed = streams[i]->missed();
+            for (auto &s : streams[i]->samples()) {
+                bool write = s.command == nbd::cmd_write;
+                double value = write ? l.write_value : l.value;
+                ++t.asked, t.value_due += value;
+                auto second = static_cast<std::size_t>(std::max<Time>(0, l.shape.begin + s.at) / sec);
+                if (t.course.size() <= second) t.course.resize(second + 1);
+                t.course[second].second += value;
+                if (s.error == ~0u)
+                    ++t.lost;
+                else if (s.error == nbd::e_nomem)
+                    ++t.denied;
+                else if (s.error != 0)
+                    ++t.errored;
+                else if (++t.good; s.took <= (write ? l.write_due : l.due))
+                    ++t.in_time, t.value += value, t.course[second].first += value;
+                if (s.error == 0) t.took.push_back(s.took);
+            }
+            t.value_due += static_cast<double>(t.missed) * l.value;
+        }
+        streams.clear();
+    });
+    return out;
+}
+
+} // namespace knotvane::day
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -247,9 +247,11 @@
     Time until = now_ + w->client_timeout;
     auto &r = requests_.at(no);
     r.tasks.insert(id), ++r.left;
-    scheduler_->task_taken(now_, id, w->id, c.volume->id, c.volume->plan, work->shard, key, work->units,
-                           c.volume->hosts, writes, false, until);
+    auto shard = work->shard;
+    auto units = work->units;
     tasks_[id] = {no, false, std::move(work), until, w->window, now_, {}, {}, 0};
+    scheduler_->task_taken(now_, id, w->id, c.volume->id, c.volume->plan, shard, key, units, c.volume->hosts, writes,
+                           false, until);
     stirred_ = true;
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -103,9 +103,10 @@
 std::string default_service() { return "[speed]\nunit_time = 0ms\n"; }
 
 std::string node_settings(std::uint64_t id, std::uint64_t shard, const std::string &listen, const std::string &store,
-                          const std::string &service) {
+                          const std::string &service, Time age) {
     return "[node]\nid = " + std::to_string(id) + "\nshard = " + std::to_string(shard) + "\nlisten = " + listen +
-           "\nstore = " + store + "\nsync = no\n\n" + service;
+           "\nstore = " + store + "\nsync = no\nage = " +
+           std::to_string(age / ms) + "ms\n\n" + service;
 }
 
 namespace {
@@ -125,7 +126,8 @@
         auto host = std::make_unique<NodeHost>();
         host->shard = ShardId{static_cast<std::int32_t>(i)};
         host->store = dir_ + "/shard-" + std::to_string(i) + ".store";
-        start_node(*host, NodeId{++next_node_});
+        // The first ones have been up for long, as a gateway's nodes mostly have when it starts.
+        start_node(*host, NodeId{++next_node_}, 3600 * sec);
         nodes_.push_back(std::move(host));
     }
     for (std::uint64_t i = 0; i < edges; ++i) edges_.push_back(std::make_unique<EdgeHost>());
@@ -135,11 +137,11 @@
     for (auto &n : nodes_) n->worker->run([&] { n->server.reset(); });
 }
 
-void Fleet::start_node(NodeHost &host, NodeId id) {
+void Fleet::start_node(NodeHost &host, NodeId id, Time age) {
     host.worker->run([&] {
         host.server.reset();
         auto text = node_settings(id.value, static_cast<std::uint64_t>(host.shard.value), "127.0.0.1:0", host.store,
-                                  service_);
+                                  service_, age);
         settings::File first("embedded node settings", text), again("embedded node settings", text);
         node::check(first);
         must_be_good(first);
@@ -147,7 +149,7 @@
         host.address = host.server->address();
     });
     host.id = id;
-    list_.nodes.push_back({id, host.address, host.shard, ZoneId{0}, NodeState::ready, loop::now()});
+    list_.nodes.push_back({id, host.address, host.shard, ZoneId{0}, NodeState::ready, loop::now() - age});
 }
 
 std::string Fleet::list_path(std::size_t edge) const { return dir_ + "/nodes-" + std::to_string(edge) + ".ini"; }
@@ -197,7 +199,7 @@
         if (edges_[edge]->server) call(*edges_[edge]->server);
     });
 }
-void Fleet::replace(std::size_t node) { start_node(*nodes_[node], NodeId{++next_node_}); }
+void Fleet::replace(std::size_t node) { start_node(*nodes_[node], NodeId{++next_node_}, 0); }
 void Fleet::stop_edge(std::size_t edge) {
     edges_[edge]->worker->run([&] { edges_[edge]->server.reset(); });
 }
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -36,7 +36,7 @@
 std::string edge_settings(std::uint64_t id, std::uint64_t edges, const std::string &listen, const std::string &list,
                           std::uint64_t shards, const std::string &scheduling);
 std::string node_settings(std::uint64_t id, std::uint64_t shard, const std::string &listen, const std::string &store,
-                          const std::string &service);
+                          const std::string &service, Time age = 0);
 // Volumes, plans, workloads and rules for an edge; how a node serves. Both can be replaced by a day's own.
 std::string default_scheduling();
 std::string default_service();
@@ -91,7 +91,7 @@
     void stop_edge(std::size_t edge);
 
   private:
-    void start_node(NodeHost &host, NodeId id);
+    void start_node(NodeHost &host, NodeId id, Time age);
     std::string list_path(std::size_t edge) const;
 
     std::string dir_, scheduling_, service_;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -148,15 +148,16 @@
         auto self = static_cast<Handle *>(s->data)->owner;
         if (!self || self->closed_ || n == 0) return;
         if (n < 0) return self->gone();
-        if (self->on_bytes) self->on_bytes({buf->base, static_cast<std::size_t>(n)});
+        // Once it only ends, nothing is called back any more: whoever owned it may be gone.
+        if (self->on_bytes && !self->ending_) self->on_bytes({buf->base, static_cast<std::size_t>(n)});
     });
 }
 
 void Socket::gone() {
     if (closed_) return;
-    auto call = on_gone;
+    bool silent = ending_;
     close(true);
-    if (call) call();
+    if (on_gone && !silent) on_gone();
 }
 
 void Socket::send(std::string bytes) {
@@ -212,18 +213,18 @@
             s.writing_ -= self->bytes.size();
             if (s.closed_) return;
             if (status < 0) return s.gone();
-            if (s.on_written) s.on_written(self->bytes.size());
+            if (s.on_written && !s.ending_) s.on_written(self->bytes.size());
             if (s.ending_ && s.writing_ == 0 && s.pending_.empty()) s.close();
         });
     }
-    if (left_now > 0 && on_written) on_written(left_now);
+    if (left_now > 0 && on_written && !ending_) on_written(left_now);
 }
 
 void Socket::close_when_sent() {
+    ending_ = true;
     flush();
     if (closed_) return;
     if (writing_ == 0) return close();
-    ending_ = true;
 }
 
 void Socket::close(bool reset) {
@@ -231,7 +232,6 @@
     if (!reset) flush();
     if (closed_) return;
     closed_ = true;
-    on_bytes = nullptr, on_gone = nullptr, on_written = nullptr;
     auto *raw_handle = reinterpret_cast<uv_handle_t *>(&handle_->tcp);
     auto end = [](uv_handle_t *h) { delete static_cast<Handle *>(h->data); };
     if (reset && up_)
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -31,7 +31,7 @@
 
 namespace {
 void read_identity(settings::File &file, std::uint64_t &id, std::uint64_t &shard, std::string &listen,
-                   std::string &store, bool &sync, std::uint64_t &seed) {
+                   std::string &store, bool &sync, std::uint64_t &seed, Time &age) {
     auto &s = file.one("node", true);
     id = s.count("id", 1, std::numeric_limits<std::int64_t>::max());
     shard = s.count("shard", 0, 65535);
@@ -39,6 +39,8 @@
     store = s.text("store");
     sync = s.flag("sync", true);
     seed = s.count("seed", 0, std::numeric_limits<std::int64_t>::max(), 1);
+    // How long ago it is taken to have started: a node that is old is not cold.
+    age = s.time("age", 0);
 }
 } // namespace
 
@@ -46,7 +48,8 @@
     std::uint64_t id, shard, seed;
     std::string listen, store;
     bool sync;
-    read_identity(file, id, shard, listen, store, sync, seed);
+    Time age;
+    read_identity(file, id, shard, listen, store, sync, seed, age);
     read_service(file, nullptr);
 }
 
@@ -54,11 +57,12 @@
     std::uint64_t id, shard, seed;
     std::string listen_on, store;
     bool sync;
-    read_identity(file, id, shard, listen_on, store, sync, seed);
+    Time age;
+    read_identity(file, id, shard, listen_on, store, sync, seed, age);
     id_ = NodeId{id}, shard_ = ShardId{static_cast<std::int32_t>(shard)}, address_ = listen_on;
     medium_ = file_medium(store, sync);
     store_ = std::make_unique<Store>(*medium_);
-    disk_ = std::make_unique<Disk>(id_, shard_, *store_, *this, seed, loop::now());
+    disk_ = std::make_unique<Disk>(id_, shard_, *store_, *this, seed, loop::now() - age);
     read_service(file, disk_.get());
     listen(true);
     loop_.at_end([this] { return end_of_moment(); });
--- a/src/rules/judge.hpp
+++ b/src/rules/judge.hpp
@@ -45,6 +45,8 @@
     void set_further(double each, double free, Time span);
     // How long after its decision a shot may wait for a new connection.
     void set_hold(Time hold);
+    // The volume that an export's name stands for; without any, a connection's is as it was given.
+    void set_volume(const std::string &name, VolumeId volume);
     void set_limit(VolumeId volume, double rate, double burst, double slack);
 
     // An edge's connection to a client or, with a node, to that node. Clients' connections name the volume.
@@ -123,6 +125,7 @@
         Time at = 0;
     };
     std::map<VolumeId, Limit> limits_;
+    std::map<std::string, VolumeId, std::less<>> volumes_;
 
     std::map<WireId, std::unique_ptr<Wire>> wires_;
     std::map<EdgeId, std::vector<Requestp>> open_;        // writes, in order of arrival
