Find tasks that are too late by an index instead of a walk over all that wait

Waiting tasks now stand by units and due time, repeats apart; who is late is found at the front. Decisions and their order are the same.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -245,11 +245,46 @@
     Samples<std::pair<double, bool>, 32> turns_; // past 32 the filter's weight is under a fiftieth
 };
 
+// ---- What waits at a node, so that who is too late is found without a look at everybody: with thousands that
+// wait the look itself would make all of them late.
+class Waiting {
+  public:
+    using Place = std::pair<VolumeId, Volumes::Rank>; // in the order in which volumes and their tasks stand
+    void add(double units, Time due, bool repeated, const Place &p) {
+        by_units_[units].insert({due, p});
+        if (repeated) repeats_.insert(p);
+        ++all_;
+    }
+    void remove(double units, Time due, const Place &p) {
+        auto it = by_units_.find(units);
+        it->second.erase({due, p});
+        if (it->second.empty()) by_units_.erase(it);
+        repeats_.erase(p);
+        --all_;
+    }
+    // Who would be answered past the due time, by what a task of so many units is expected to take.
+    template <class Expected> std::set<Place> late(Time now, Expected expected) const {
+        std::set<Place> out;
+        for (auto &[units, tasks] : by_units_)
+            for (auto it = tasks.begin(); it != tasks.end() && now + expected(units) > it->first; ++it)
+                out.insert(it->second);
+        return out;
+    }
+    const std::set<Place> &repeats() const { return repeats_; }
+    std::size_t firsts() const { return all_ - repeats_.size(); }
+
+  private:
+    std::map<double, std::set<std::pair<Time, Place>>> by_units_;
+    std::set<Place> repeats_;
+    std::size_t all_ = 0;
+};
+
 // ---- A node, as this scheduler sees it.
 struct Node : NodeSeen {
     Node(NodeId i, std::uint32_t n, double largest) : window(n), volumes(largest) { id = i; }
     Window window;
     Volumes volumes;
+    Waiting waiting;
     // What a task is expected to take there once sent: its units at the quick quarter of times per unit, here
     // or before there are enough answers elsewhere, and the wait, the middle of what answers took beyond
     // that. An answer tells of the wait for about as long as it took: after that the next task finds out.
@@ -473,6 +508,7 @@
         if (t.stage == Stage::queue) {
             Node &node = nodes_.at(t.node);
             node.volumes.remove(t.volume, rank(t));
+            node.waiting.remove(t.units, t.due, {t.volume, rank(t)});
             node.units_waiting -= t.units;
         }
     }
@@ -564,6 +600,7 @@
             asked_[t.volume].add(now_, t.units), asked_[t.volume].since(now_ - surge);
         }
         node.volumes.add(t.volume, weight(plans_[t.plan]), rank(t));
+        node.waiting.add(t.units, t.due, t.repeated, {t.volume, rank(t)});
     }
     // Tasks queued at a node that drains or is gone go back to placement: moved, held or answered there.
     void empty_queue(Node &node) {
@@ -601,6 +638,7 @@
                 !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
+            node.waiting.remove(t.units, t.due, {t.volume, rank(t)});
             shoot(node, t);
         }
     }
@@ -614,24 +652,26 @@
     }
     // Ends waiting tasks that can't be in time any more, to be asked again past the jam if at all.
     void drop_late(Node &node) {
-        std::vector<TaskId> late, repeats;
-        Time wait = clients_wait();
-        std::size_t firsts = 0;
-        for (auto &[v, line] : node.volumes.lines())
-            for (auto &[value, due, id] : line.tasks) {
-                const Task &t = tasks_.at(id);
-                if (now_ + node.expected(t.units) > std::min(due, t.taken + wait))
-                    late.push_back(id);
-                else if (t.repeated)
-                    repeats.push_back(id);
-                else
-                    ++firsts;
-            }
+        auto expected = [&](double units) { return node.expected(units); };
+        auto late = node.waiting.late(now_, expected);
+        if (Time wait = clients_wait(); wait < never / 2)
+            for (auto &[v, line] : node.volumes.lines())
+                for (auto &rank : line.tasks)
+                    if (const Task &t = tasks_.at(std::get<TaskId>(rank));
+                        now_ + node.expected(t.units) > t.taken + wait)
+                        late.insert({v, rank});
+        std::vector<TaskId> ends;
+        std::size_t late_firsts = 0;
+        for (auto &[v, rank] : late) {
+            ends.push_back(std::get<TaskId>(rank));
+            late_firsts += !node.waiting.repeats().contains({v, rank});
+        }
         // A repeat earns a late answer's part at most: where first tries wait, it makes room for them. Guards
         // against a retry storm in which everybody is served late.
-        if (!node.window.open(node.out.size() - node.overdue, 0, 1, 1) && firsts > 0)
-            late.insert(late.end(), repeats.begin(), repeats.end());
-        for (auto id : late) {
+        if (!node.window.open(node.out.size() - node.overdue, 0, 1, 1) && node.waiting.firsts() > late_firsts)
+            for (auto &place : node.waiting.repeats())
+                if (!late.contains(place)) ends.push_back(std::get<TaskId>(place.second));
+        for (auto id : ends) {
             auto it = tasks_.find(id);
             give_up(it->second, longest_wait_), forget_if_done(it);
         }
