Count a client's leaving for its own volume; tell other ends from leaving

The edge, too, called it a withdrawal when another part of a request had failed. Now leavers tell of their own volume, and of all only from four volumes on; task_withdrawn says whether the client left.

--- a/src/day/passthrough.cpp
+++ b/src/day/passthrough.cpp
@@ -46,7 +46,7 @@
         else
             do_.error(task);
     }
-    void task_withdrawn(Time, TaskId task) override { out_.erase(task), denied_.erase(task); }
+    void task_withdrawn(Time, TaskId task, bool) override { out_.erase(task), denied_.erase(task); }
     void alarm(Time, AlarmId) override {}
     void settle(Time) override {
         for (auto task : std::exchange(denied_, {})) do_.deny(task, longest_wait_);
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -258,7 +258,7 @@
         break;
     }
     case 261:
-        to.task_withdrawn(now_, TaskId{in.need<std::uint64_t>("task")});
+        to.task_withdrawn(now_, TaskId{in.need<std::uint64_t>("task")}, true);
         break;
     case 262:
         to.alarm(now_, AlarmId{in.get<std::uint32_t>("alarm")});
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -200,7 +200,7 @@
     for (auto no : std::set<RequestNo>(it->second->requests)) {
         for (auto task : std::set<TaskId>(requests_.at(no).tasks)) {
             auto &t = tasks_.at(task);
-            scheduler_->task_withdrawn(now_, task);
+            scheduler_->task_withdrawn(now_, task, true);
             stirred_ = true;
             end_task(task, t);
         }
@@ -360,7 +360,8 @@
     auto it = requests_.find(no);
     if (it == requests_.end()) return;
     for (auto task : std::set<TaskId>(it->second.tasks)) {
-        scheduler_->task_withdrawn(now_, task);
+        // Not by its client: taken for impatience, a few large requests that fail would make all tasks look late.
+        scheduler_->task_withdrawn(now_, task, false);
         stirred_ = true;
         end_task(task, tasks_.at(task));
     }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -449,12 +449,14 @@
             again(t);
         forget_if_done(it);
     }
-    void task_withdrawn(Time now, TaskId id) override {
+    void task_withdrawn(Time now, TaskId id, bool by_client) override {
         now_ = now;
         auto it = tasks_.find(id);
         if (it == tasks_.end() || it->second.ended) return;
-        left_.add({now, now - it->second.taken});
-        unanswered_[alike(it->second)] = it->second.first_due;
+        if (by_client) {
+            left_.add({now, it->second.volume, now - it->second.taken});
+            unanswered_[alike(it->second)] = it->second.first_due;
+        }
         end(it->second);
         forget_if_done(it);
     }
@@ -642,24 +644,32 @@
             shoot(node, t);
         }
     }
-    // How long clients wait now, where many leave early (eight in two seconds): the quick quarter of them.
-    // Guards against serving only who is about to go. Harm: the impatience of some shortens the wait of all.
-    Time clients_wait() const {
-        Samples<Time, 32> lately;
-        for (auto &[at, waited] : left_)
-            if (at > now_ - 2 * sec) lately.add(waited);
-        return lately.size() < 8 ? never / 2 : lately.quantile(0.25);
+    // How long a volume's clients wait now, where many leave early (eight in two seconds): the quick quarter of
+    // them. Guards against serving only who is about to go. Those of one volume tell of it alone, those of four or
+    // more of everybody: one client that hangs up again and again must not shorten the wait of all.
+    Time clients_wait(VolumeId volume) const {
+        Samples<Time, 32> lately, own;
+        std::set<VolumeId> volumes;
+        for (auto &[at, v, waited] : left_)
+            if (at > now_ - 2 * sec) {
+                lately.add(waited), volumes.insert(v);
+                if (v == volume) own.add(waited);
+            }
+        auto &tell = volumes.size() >= 4 ? lately : own;
+        return tell.size() < 8 ? never / 2 : tell.quantile(0.25);
     }
     // Ends waiting tasks that can't be in time any more, to be asked again past the jam if at all.
     void drop_late(Node &node) {
         auto expected = [&](double units) { return node.expected(units); };
         auto late = node.waiting.late(now_, expected);
-        if (Time wait = clients_wait(); wait < never / 2)
-            for (auto &[v, line] : node.volumes.lines())
+        if (left_.size() >= 8 && std::get<0>(*(left_.end() - 8)) > now_ - 2 * sec)
+            for (auto &[v, line] : node.volumes.lines()) {
+                Time wait = line.tasks.empty() ? never / 2 : clients_wait(v);
                 for (auto &rank : line.tasks)
                     if (const Task &t = tasks_.at(std::get<TaskId>(rank));
                         now_ + node.expected(t.units) > t.taken + wait)
                         late.insert({v, rank});
+            }
         std::vector<TaskId> ends;
         std::size_t late_firsts = 0;
         for (auto &[v, rank] : late) {
@@ -819,7 +829,7 @@
     std::set<TaskId> moving_;                 // in turn, limit or placement
     std::set<std::pair<Time, TaskId>> calls_; // every task that is owed an answer, by its last call
     std::map<VolumeId, LimitPart> limits_;
-    Samples<std::pair<Time, Time>, 32> left_; // clients who left early: when, and after how long
+    Samples<std::tuple<Time, VolumeId, Time>, 32> left_; // clients who left early: when, whose, after how long
     std::map<Alike, Time> unanswered_; // tasks ended without an answer, and when their first try was due
     Samples<double, 64> unit_time_;    // of the last answers of all nodes
     std::map<VolumeId, Recent> asked_; // units, by volume
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -375,10 +375,35 @@
             t.task(0, i);
         t.s->settle(0);
         for (std::uint64_t i = 3; i < 12; ++i)
-            t.s->task_withdrawn(150 * ms, TaskId{i});
+            t.s->task_withdrawn(150 * ms, TaskId{i}, true);
         t.s->settle(151 * ms);
         CHECK(t.did.count("deny") == 3);
     }
+    TEST_CASE("one volume's clients who leave early shorten no other volume's wait") {
+        Bench t;
+        t.list(0);
+        for (std::uint64_t i = 1; i < 12; ++i)
+            t.task(0, i);
+        for (std::uint64_t i = 20; i < 24; ++i) // another volume's
+            t.s->task_taken(0, TaskId{i}, WorkloadId{0}, VolumeId{6}, PlanId{0}, ShardId{1}, no_key, 2, 2, false, false,
+                            2 * sec);
+        t.s->settle(0);
+        for (std::uint64_t i = 1; i < 12; ++i)
+            t.s->task_withdrawn(ms, TaskId{i}, true);
+        t.s->settle(2 * ms);
+        CHECK(t.did.count("deny 2") == 0);
+    }
+    TEST_CASE("a task that ends on other grounds than its client's leaving says nothing of patience") {
+        Bench t;
+        t.list(0);
+        for (std::uint64_t i = 1; i < 15; ++i)
+            t.task(0, i);
+        t.s->settle(0);
+        for (std::uint64_t i = 3; i < 12; ++i)
+            t.s->task_withdrawn(150 * ms, TaskId{i}, false);
+        t.s->settle(151 * ms);
+        CHECK(t.did.count("deny") == 0);
+    }
     TEST_CASE("work that a client left behind stays in the window") {
         Bench t;
         t.list(0);
