--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -48,8 +48,15 @@
 add_library(knotvane_day src/day/day.cpp src/day/passthrough.cpp src/relay/relay.cpp)
 target_link_libraries(knotvane_day PUBLIC knotvane_fleet knotvane_driver knotvane_figures PRIVATE knotvane_log)
 add_executable(knotvane src/cli/main.cpp src/cli/local.cpp src/cli/load.cpp src/cli/days.cpp)
-target_link_libraries(knotvane PRIVATE knotvane_day knotvane_log CLI11::CLI11)
+target_link_libraries(knotvane PRIVATE knotvane_day knotvane_log CLI11::CLI11 nlohmann_json::nlohmann_json)
 add_executable(knotvane-edge src/cli/edge_main.cpp)
 target_link_libraries(knotvane-edge PRIVATE knotvane_servers knotvane_log CLI11::CLI11)
 add_executable(knotvane-node src/cli/node_main.cpp)
 target_link_libraries(knotvane-node PRIVATE knotvane_servers knotvane_log CLI11::CLI11)
+
+# Measurements; not part of the tests.
+find_package(benchmark QUIET)
+if(benchmark_FOUND AND NOT KNOTVANE_TESTS)
+  add_executable(module_bench bench/module_bench.cpp)
+  target_link_libraries(module_bench PRIVATE knotvane_policy benchmark::benchmark)
+endif()
--- /dev/null
+++ b/tests/rules/rules_test.cpp
@@ -0,0 +1,227 @@
+// The judge: for each rule a doctored recording that it must catch, beside the same one undoctored.
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "load/session.hpp"
+#include "nbd/wire.hpp"
+#include "record/recording.hpp"
+#include "rules/figures.hpp"
+
+using namespace knotvane;
+using namespace knotvane::rules;
+
+namespace {
+
+struct Quiet final : load::Replies {
+    void opened(std::uint64_t, std::uint16_t) override {}
+    void data(std::uint64_t, std::uint64_t, std::string_view) override {}
+    void ended(std::uint64_t, std::uint32_t, std::string_view) override {}
+    void broken(std::string_view) override {}
+};
+
+// A client's and a node's wire of edge 0, and the frames on them.
+struct Scene {
+    Judge j{ms};
+    WireId client{1}, node{2}, other{3};
+    std::uint64_t tag = 0;
+    Scene() {
+        j.set_workload(0, sec, Repeat::reissuable, 0, 0);
+        j.set_workload(1, sec, Repeat::numbered, 500 * ms, 600 * ms);
+        j.set_workload(3, sec, Repeat::reissuable, 0, 0);
+        j.set_shots(3, false);
+        j.set_drain(250 * ms);
+        j.client_wire(0, client, EdgeId{0}, VolumeId{5});
+        j.node_wire(0, node, EdgeId{0}, NodeId{1});
+        j.node_wire(0, other, EdgeId{0}, NodeId{2});
+        j.bytes(0, client, false, std::string("\0\0\0\3", 4));
+        j.bytes(0, client, true, std::string(18, 'x'));
+    }
+    void ask(Time at, std::uint16_t command, std::uint64_t cookie, std::uint64_t offset, char fill = 'x') {
+        Quiet q;
+        load::Session s(q, "v", false);
+        s.take_out();
+        s.ask(command, 0, cookie, offset, command == nbd::cmd_flush ? 0 : 512,
+              command == nbd::cmd_write ? std::string(512, fill) : "");
+        j.bytes(at, client, false, s.take_out());
+    }
+    void reply(Time at, std::uint64_t cookie, std::uint32_t error = 0, const std::string &data = "") {
+        std::string r;
+        nbd::put(r, nbd::simple_reply_magic);
+        nbd::put(r, error);
+        nbd::put(r, cookie);
+        j.bytes(at, client, true, r + data);
+    }
+    std::uint64_t shot(Time at, frames::Kind kind, std::uint64_t task, std::uint64_t offset, WireId wire = WireId{2},
+                       int shard = 0, std::uint32_t units = 1000) {
+        j.bytes(at, wire, true,
+                frames::make(kind, 0, {}, ++tag, VolumeId{5}, offset, 512, units, 1, task, 0, ShardId{shard}, {}));
+        return tag;
+    }
+    void answer(Time at, std::uint64_t t, frames::Status status = frames::Status::ok, WireId wire = WireId{2}) {
+        j.bytes(at, wire, false,
+                frames::make(frames::Kind::answer, 0, status, t, VolumeId{5}, 0, 512, 0, 1, 0, 0, ShardId{0}, {}));
+    }
+    std::uint64_t broken(Rule rule) {
+        j.finish(100 * sec);
+        return j.breaches(rule);
+    }
+    // A write done as it should be.
+    void write(Time at, std::uint64_t id, std::uint64_t offset, char fill) {
+        ask(at, nbd::cmd_write, id, offset, fill);
+        answer(at + 2, shot(at + 1, frames::Kind::write, id, offset));
+        reply(at + 3, id);
+    }
+};
+using frames::Kind;
+using frames::Status;
+
+} // namespace
+
+TEST_CASE("a day as it should be breaks nothing") {
+    Scene s;
+    s.write(sec, 1, 0, 'a');
+    s.write(2 * sec, 2, 0, 'b');
+    s.ask(3 * sec, nbd::cmd_read, 3, 0);
+    s.answer(3 * sec + 2, s.shot(3 * sec + 1, Kind::read, 3, 0));
+    s.reply(3 * sec + 3, 3, 0, std::string(512, 'b'));
+    s.j.finish(10 * sec);
+    CHECK(s.j.broken().empty());
+    CHECK(kept(s.j));
+}
+TEST_CASE("rule 1: answered twice, never, too late, or sent for after its answer") {
+    Scene twice, never, late, after, dropped;
+    twice.write(sec, 1, 0, 'a');
+    twice.reply(sec + 9, 1);
+    CHECK(twice.broken(Rule::answers) == 1);
+    never.ask(sec, nbd::cmd_read, 1, 0);
+    CHECK(never.broken(Rule::answers) == 1);
+    late.ask(sec, nbd::cmd_read, 1, 0);
+    late.reply(3 * sec, 1, 5);
+    CHECK(late.broken(Rule::answers) == 1);
+    after.ask(sec, nbd::cmd_write, 1, 0);
+    auto t = after.shot(sec + 1, Kind::write, 1, 0);
+    after.answer(sec + 2, t, Status::full);
+    after.reply(sec + 3, 1, 5);
+    after.shot(sec + 9 * ms, Kind::write, 1, 0);
+    CHECK(after.broken(Rule::answers) == 1);
+    dropped.ask(sec, nbd::cmd_read, 1, 0);
+    dropped.j.closed(sec + 1, dropped.client, true);
+    CHECK(dropped.broken(Rule::answers) == 1);
+}
+TEST_CASE("rule 2: side by side, past the window, elsewhere, a denial that misleads, too many") {
+    Scene side, past, elsewhere, misled, many;
+    for (auto *s : {&side, &past, &elsewhere, &misled, &many}) s->ask(sec, nbd::cmd_write, 1, 0);
+    side.shot(sec + 1, Kind::write, 1, 0);
+    side.shot(sec + 2, Kind::write, 1, 0);
+    CHECK(side.broken(Rule::effects) == 1);
+    past.answer(sec + 2, past.shot(sec + 1, Kind::write, 1, 0), Status::error);
+    past.shot(sec + 501 * ms, Kind::write, 1, 0);
+    CHECK(past.broken(Rule::effects) == 1);
+    elsewhere.answer(sec + 2, elsewhere.shot(sec + 1, Kind::write, 1, 0), Status::error);
+    elsewhere.shot(sec + 3, Kind::write, 1, 0, WireId{3}, 1);
+    CHECK(elsewhere.broken(Rule::effects) == 1);
+    misled.shot(sec + 1, Kind::write, 1, 0);
+    misled.reply(sec + 2, 1, nbd::e_nomem);
+    CHECK(misled.broken(Rule::effects) == 1);
+    for (Time i = 0; i < 4; ++i) many.answer(sec + 2 * i + 1, many.shot(sec + 2 * i, Kind::write, 1, 0), Status::full);
+    CHECK(many.broken(Rule::effects) == 1);
+}
+TEST_CASE("rule 3: a shot later than the grace after the edge was told") {
+    Scene s, t;
+    for (auto *x : {&s, &t}) x->j.told(sec, EdgeId{0}, NodeId{1}, NodeState::draining);
+    s.shot(sec + 250 * ms, Kind::read, 1, 0);
+    t.shot(sec + 251 * ms, Kind::read, 1, 0);
+    CHECK(s.broken(Rule::drains) == 0);
+    CHECK(t.broken(Rule::drains) == 1);
+}
+TEST_CASE("rule 4: more than a cold node bears") {
+    Scene s;
+    s.j.set_cold(100, 0.25, 10 * sec, sec, 2);
+    s.j.started(sec, NodeId{1});
+    for (std::uint64_t i = 1; i <= 58; ++i) s.shot(sec + 1, Kind::read, i, 0);
+    CHECK(s.j.breaches(Rule::cold) == 0);
+    s.shot(sec + 1, Kind::read, 99, 0);
+    CHECK(s.broken(Rule::cold) == 1);
+}
+TEST_CASE("rule 5: over the same bytes while one is out, rests, or came first") {
+    Scene out, rests, first;
+    for (auto *s : {&out, &rests, &first}) {
+        s->ask(sec, nbd::cmd_write, 1, 0);
+        s->ask(sec + 2 * ms, nbd::cmd_write, 2, 0);
+    }
+    out.shot(sec + 3 * ms, Kind::write, 1, 0);
+    out.shot(sec + 4 * ms, Kind::write, 2, 0);
+    CHECK(out.broken(Rule::order) >= 1);
+    rests.shot(sec + 3 * ms, Kind::write, 1, 0);
+    rests.j.closed(sec + 4 * ms, rests.node, false);
+    rests.reply(sec + 5 * ms, 1, 5);
+    rests.shot(sec + 600 * ms, Kind::write, 2, 0, WireId{3});
+    CHECK(rests.broken(Rule::order) == 1);
+    // The first request's shot is its own; the second's is not, for its piece was begun.
+    first.answer(sec + 3 * ms, first.shot(sec + 3 * ms, Kind::write, 1, 0), Status::full);
+    first.shot(sec + 4 * ms, Kind::write, 2, 0);
+    CHECK(first.broken(Rule::order) == 1);
+}
+TEST_CASE("rule 6: more further shots than the budget") {
+    Scene s;
+    s.j.set_further(0, 1, sec);
+    s.ask(sec, nbd::cmd_read, 1, 0);
+    for (Time i = 0; i < 3; ++i) s.answer(sec + 2 * i + 1, s.shot(sec + 2 * i, Kind::read, 1, 0), Status::full);
+    CHECK(s.broken(Rule::further) == 1);
+}
+TEST_CASE("rule 7: past a volume's limit") {
+    Scene s;
+    s.j.set_limit(VolumeId{5}, 10, 20, 2);
+    for (std::uint64_t i = 1; i <= 22; ++i) s.shot(sec, Kind::read, i, 0);
+    CHECK(s.j.breaches(Rule::limits) == 0);
+    s.shot(sec, Kind::read, 23, 0);
+    CHECK(s.broken(Rule::limits) == 1);
+}
+TEST_CASE("data: what was replaced, what nobody wrote, a flush over a loss") {
+    Scene old, nobody, flushed, well;
+    for (auto *s : {&old, &nobody}) {
+        s->write(sec, 1, 0, 'a');
+        s->write(2 * sec, 2, 0, 'b');
+        s->ask(3 * sec, nbd::cmd_read, 3, 0);
+    }
+    old.reply(3 * sec + 1, 3, 0, std::string(512, 'a'));
+    CHECK(old.broken(Rule::data) == 1);
+    nobody.reply(3 * sec + 1, 3, 0, std::string(512, 'z'));
+    CHECK(nobody.broken(Rule::data) == 1);
+    for (auto *s : {&flushed, &well}) {
+        s->write(sec, 1, 0, 'a');
+        s->j.lost(2 * sec, NodeId{1});
+        s->ask(3 * sec, nbd::cmd_flush, 2, 0);
+    }
+    flushed.reply(3 * sec + 1, 2);
+    CHECK(flushed.broken(Rule::data) == 1);
+    well.reply(3 * sec + 1, 2, 5);
+    CHECK(well.broken(Rule::data) == 0);
+}
+TEST_CASE("a recording is read as it was written; any change of it is found") {
+    std::string path = "rules_test.recording";
+    {
+        record::Writer w(path);
+        w.put(1, record::Kind::note, 1, 2, 3, "hello");
+        w.put(2, record::Kind::end, 0, 0, 0, "");
+    }
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream all;
+    all << in.rdbuf();
+    auto text = all.str();
+    auto read = [&](const std::string &t) {
+        std::ofstream(path, std::ios::binary | std::ios::trunc) << t;
+        return record::read(path, [](auto...) {});
+    };
+    CHECK(read(text) == "");
+    for (std::size_t n = 0; n < text.size(); ++n) CHECK(read(text.substr(0, n)) != "");
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        auto t = text;
+        t[n] ^= 1;
+        CHECK(read(t) != "");
+    }
+    std::remove(path.c_str());
+}
