Keep expected times and weights until something changes; hold samples in place

With the index the module still worked out each node's expected times at every settle, asking for memory each time. They are kept until an answer comes, one grows old or elsewhere changes; the sum of waiting volumes' weights until a volume begins or ends to wait; samples stand in place.

--- a/src/core/samples.hpp
+++ b/src/core/samples.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
 #include <cstddef>
 #include <deque>
 #include <utility>
@@ -14,28 +16,35 @@
 template <class T, std::size_t Most> class Samples {
   public:
     void add(T v) {
-        kept_.push_back(v);
-        if (kept_.size() > Most)
-            kept_.pop_front();
+        if (end_ == kept_.size()) {
+            std::move(kept_.begin() + begin_, kept_.end(), kept_.begin());
+            end_ -= begin_, begin_ = 0;
+        }
+        kept_[end_++] = v;
+        if (end_ - begin_ > Most) ++begin_;
     }
-    void clear() { kept_.clear(); }
-    bool empty() const { return kept_.empty(); }
-    std::size_t size() const { return kept_.size(); }
-    auto begin() const { return kept_.begin(); }
-    auto end() const { return kept_.end(); }
-    T most() const { return kept_.empty() ? T{} : *std::max_element(kept_.begin(), kept_.end()); }
+    void clear() { begin_ = end_ = 0; }
+    bool empty() const { return begin_ == end_; }
+    std::size_t size() const { return end_ - begin_; }
+    auto begin() const { return kept_.begin() + begin_; }
+    auto end() const { return kept_.begin() + end_; }
+    T most() const { return empty() ? T{} : *std::max_element(begin(), end()); }
     // The value that the given part of the samples lies under.
     T quantile(double part) const {
-        if (kept_.empty())
+        if (empty())
             return T{};
-        std::vector<T> sorted(kept_.begin(), kept_.end());
-        auto at = static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1));
-        std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(at), sorted.end());
-        return sorted[at];
+        std::array<T, Most> sorted;
+        std::copy(begin(), end(), sorted.begin());
+        auto at = static_cast<std::ptrdiff_t>(part * static_cast<double>(size() - 1));
+        std::nth_element(sorted.begin(), sorted.begin() + at, sorted.begin() + static_cast<std::ptrdiff_t>(size()));
+        return sorted[static_cast<std::size_t>(at)];
     }
 
   private:
-    std::deque<T> kept_;
+    // Twice as many places as samples, so that they are moved up once in that many; no memory is asked for: these
+    // are made and dropped many times for each task.
+    std::array<T, 2 * Most> kept_;
+    std::uint32_t begin_ = 0, end_ = 0;
 };
 
 // What was counted lately, by time.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -111,6 +111,7 @@
                    : out == 0 && seconds(since_last) * std::max(floor_, size_ * weighs) >= seconds(expected);
     }
     double size() const { return size_; }
+    bool paces() const { return size_ < 1; }
     // Per-unit latency of an answer. Grows by one a window while the reading is under twice its recent best;
     // doubles at most. Before there are eight answers, one that took half its due time or more halves it.
     void answered(Time now, double units, Time took, bool slow) {
@@ -160,6 +161,7 @@
         auto [it, is_new] = lines_.try_emplace(v);
         Line &line = it->second;
         if (is_new) line.budget = std::max(largest_, max_budget() / 2);
+        if (line.tasks.empty() || line.weight != weight) weights_ = 0;
         line.weight = weight;
         if (line.tasks.empty() && serving_ != v) {
             line.start = std::max(virtual_time_, line.finish);
@@ -167,7 +169,10 @@
         }
         line.tasks.insert(task);
     }
-    void remove(VolumeId v, Rank task) { lines_[v].tasks.erase(task); }
+    void remove(VolumeId v, Rank task) {
+        lines_[v].tasks.erase(task);
+        if (lines_[v].tasks.empty()) weights_ = 0;
+    }
     // The volume whose task goes next, none if nothing waits; ends turns that are over.
     std::optional<VolumeId> choose(Time now) {
         if (serving_ && lines_[*serving_].tasks.empty()) stop(now, Stop::emptied);
@@ -182,11 +187,12 @@
     }
     void exhaust(Time now) { stop(now, Stop::exhausted); }
     void sent(Rank task, double units, double charge) {
-        double weights = 0;
-        for (auto &[v, line] : lines_) weights += line.tasks.empty() ? 0 : line.weight;
-        virtual_time_ += charge / weights;
+        if (weights_ == 0) // of the volumes that wait; worked out when one begins or ends to
+            for (auto &[v, line] : lines_) weights_ += line.tasks.empty() ? 0 : line.weight;
+        virtual_time_ += charge / weights_;
         Line &line = lines_[*serving_];
         line.tasks.erase(task);
+        if (line.tasks.empty()) weights_ = 0;
         ++line.out;
         charged_ += charge, units_ += units;
     }
@@ -238,7 +244,7 @@
         serving_.reset();
     }
 
-    double largest_, virtual_time_ = 0, charged_ = 0, units_ = 0;
+    double largest_, virtual_time_ = 0, charged_ = 0, units_ = 0, weights_ = 0;
     std::map<VolumeId, Line> lines_;
     std::optional<VolumeId> serving_;
     Time began_ = 0;
@@ -289,11 +295,16 @@
     // or before there are enough answers elsewhere, and the wait, the middle of what answers took beyond
     // that. An answer tells of the wait for about as long as it took: after that the next task finds out.
     // Guards against shunning a node for good by what it was, where answers are rare.
+    // Worked out again when an answer came, one grew old, or elsewhere changed.
     void reckon(Time now, double elsewhere) {
+        if (now < reckoned_until && elsewhere == reckoned_with) return;
+        reckoned_until = never, reckoned_with = elsewhere;
+        auto until = [&](Time t) { reckoned_until = std::min(reckoned_until, t > now ? t : never); };
         Samples<double, 32> each, recent, waits;
         for (auto &[at, units, secs] : answers) {
             each.add(secs / units);
             if (at > now - 4 * sec) recent.add(secs / units);
+            until(at + 4 * sec), until(at + static_cast<Time>((0.25 + secs) * 1e9) - us);
         }
         unit = each.size() < Window::lately ? elsewhere : each.quantile(0.25);
         for (auto &[at, units, secs] : answers)
@@ -303,6 +314,8 @@
         if (recent.size() >= 8) wait = 0, unit = recent.quantile(0.5);
     }
     Time expected(double units) const { return static_cast<Time>((wait + unit * units) * 1e9); }
+    Time reckoned_until = 0;
+    double reckoned_with = 0;
     // How long it may be silent with shots out: well past its slowest recent answer and the pauses of disks.
     Time patience() const { return std::max(500 * ms, 3 * took.most()); }
 };
@@ -472,6 +485,7 @@
             give_up(it->second, 0), forget_if_done(it);
         }
         advance();
+        elsewhere_ = unit_time_.quantile(0.25);
         for (auto it = busy_.begin(); it != busy_.end();) {
             Node &node = nodes_.at(*it);
             serve(node);
@@ -616,7 +630,7 @@
         if (node.state != NodeState::ready) return;
         watch(node);
         if (node.units_waiting < 1e-9) return;
-        node.reckon(now_, unit_time_.quantile(0.25));
+        node.reckon(now_, elsewhere_);
         drop_late(node);
         while (auto v = node.volumes.choose(now_)) {
             Task &t = tasks_.at(std::get<TaskId>(*node.volumes.lines().at(*v).tasks.begin()));
@@ -636,7 +650,7 @@
             bool spare = now_ < node.lost + 2 * sec;
             std::size_t held = node.out.size() - node.overdue + node.ghosts.size();
             if (!node.window.open(node.out.empty() || held == 0 ? 0 : held - spare, now_ - node.last_shot,
-                                  node.expected(t.units), weighs(node)) ||
+                                  node.expected(t.units), node.window.paces() ? weighs(node) : 1) ||
                 !gates_open(node, t))
                 return;
             node.volumes.sent(rank(t), t.units, charge);
@@ -737,7 +751,7 @@
             // It took this long at least: without it the window hears of the quick answers only, and grows.
             node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
             if (took > node.expected(std::max(t.units, 1.0)) && t.shots[shot.value].sent >= node.overtaken)
-                node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
+                node.answers.add({now_, std::max(t.units, 1.0), seconds(took)}), node.reckoned_until = 0;
             if (took > node.patience() && t.shots[shot.value].sent < node.overtaken) node.lost = now_;
         }
         if (how == Outcome::answered || how == Outcome::error) {
@@ -753,7 +767,7 @@
             node.overtaken = std::max(node.overtaken, t.shots[shot.value].sent);
             node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(node.overtaken));
             node.took.add(took), node.fulls = 1;
-            node.answers.add({now_, std::max(t.units, 1.0), seconds(took)});
+            node.answers.add({now_, std::max(t.units, 1.0), seconds(took)}), node.reckoned_until = 0;
             unit_time_.add(seconds(took) / std::max(t.units, 1.0));
             node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
         } else if (how == Outcome::full) {
@@ -816,7 +830,7 @@
     Time now_ = 0, born_ = 0, step_ = ms, longest_wait_ = 0, ask_within_ = 0, cold_span_ = 0, warm_after_ = 0;
     Time heard_list_ = 0, ask_at_ = never, next_alarm_ = never;
     double largest_ = 1, cold_units_ = 0, shares_ = 0, usual_ = 0, share_worth_ = 1, spare_worth_ = 0,
-           start_part_ = 1;
+           start_part_ = 1, elsewhere_ = 0;
     bool parallel_ = false, marked_ = false, may_call_off_ = false, on_request_ = false, whole_ = false,
          refuse_ = false;
     std::map<WorkloadId, Workload> workloads_;
