--- /dev/null
+++ b/tests/gateway/door_test.cpp
@@ -0,0 +1,88 @@
+// Overload at the door: very many connections and requests keep memory under its bound, and all are answered.
+#include <doctest/doctest.h>
+
+#include "edge/core.hpp"
+#include "load/session.hpp"
+#include "nbd/wire.hpp"
+
+using namespace knotvane;
+
+namespace {
+
+// A shell that lets nothing out: no node answers, clients read or not as the test says.
+struct Closed final : edge::Shell {
+    std::map<edge::ClientId, std::size_t> sent;
+    std::set<edge::ClientId> held;
+    void connect(edge::LinkId, const std::string &) override {}
+    void send(edge::LinkId, std::string) override {}
+    void close(edge::LinkId) override {}
+    void send_client(edge::ClientId c, std::string b) override { sent[c] += b.size(); }
+    void close_client(edge::ClientId) override {}
+    void hold_client(edge::ClientId c, bool h) override {
+        if (h)
+            held.insert(c);
+        else
+            held.erase(c);
+    }
+    void say(std::string) override {}
+    void shot_ended(TaskId, NodeId, Outcome, Time) override {}
+};
+struct Quiet final : load::Replies {
+    void opened(std::uint64_t, std::uint16_t) override {}
+    void data(std::uint64_t, std::uint64_t, std::string_view) override {}
+    void ended(std::uint64_t, std::uint32_t, std::string_view) override {}
+    void broken(std::string_view) override {}
+};
+
+} // namespace
+
+TEST_CASE("256 connections of 128 writes each stay under the stated bound, and end") {
+    constexpr std::size_t most_bytes = 8 << 20, connections = 256, each = 128, size = 16384;
+    Closed shell;
+    edge::Core core(shell, [](Actions &a) { return make_scheduler(a, 1); }, 0, 1, 256 << 10, 64 << 10, 64 << 10,
+                    {ShardId{0}});
+    auto &s = core.scheduler();
+    s.set_place(PeerId{0}, 1, ZoneId{0});
+    s.set_clock(ms, 0);
+    s.add_plan(PlanId{0}, 1, 100, 0, 1);
+    s.set_units(2, 5, 1, 1);
+    s.set_shots(3, false, true);
+    s.set_denials(sec);
+    for (std::uint32_t i = 0; i < 5; ++i) {
+        s.add_workload(WorkloadId{i}, sec, 2 * sec, 1, 0);
+        s.set_repeat(WorkloadId{i}, Repeat::reissuable, Group::shard, 0);
+        core.add_workload(WorkloadId{i}, static_cast<edge::Command>(i), ~0u, {}, 2 * sec, 0);
+    }
+    core.set_door(each, 1 << 20, 1 << 20, most_bytes);
+    core.add_volume(VolumeId{1}, "v", 64 << 20, 512, PlanId{0}, 1);
+    core.ready(0);
+    Quiet quiet;
+    std::string request;
+    std::size_t most = 0;
+    for (std::uint64_t c = 1; c <= connections; ++c) {
+        core.client_came(0, edge::ClientId{c});
+        load::Session session(quiet, "v", true);
+        std::string hello;
+        nbd::put(hello, std::uint32_t{3});
+        nbd::put(hello, nbd::option_magic);
+        nbd::put(hello, nbd::opt_export_name);
+        nbd::put(hello, std::uint32_t{1});
+        core.client_bytes(0, edge::ClientId{c}, hello + "v");
+        for (std::uint64_t i = 0; i < each; ++i) {
+            core.settle(0);
+            if (shell.held.contains(edge::ClientId{c})) break; // its socket is not read
+            session.ask(nbd::cmd_write, 0, i, (c * each + i) * size % (32 << 20), size, std::string(size, 'x'));
+            core.client_bytes(0, edge::ClientId{c}, session.take_out());
+            most = std::max(most, core.waiting_bytes());
+        }
+    }
+    core.settle(0);
+    CHECK(shell.held.size() == connections);
+    // One request beyond the bound at most: the one that reached it.
+    CHECK(most <= most_bytes + size);
+    CHECK(core.tasks() * size <= most_bytes + size);
+    // No node is listed: each task is given up in its time, and the door opens again.
+    for (Time t = 0; t <= 4 * sec; t += 5 * ms) core.settle(t);
+    CHECK(core.tasks() == 0);
+    CHECK(shell.held.empty());
+}
