--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -76,13 +76,15 @@
 
 } // namespace
 
-int main() {
+int main(int argc, char **argv) {
+    // Nodes behind the edge; what goes straight goes to one of them.
+    std::uint64_t nodes = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
     auto pattern = (std::filesystem::temp_directory_path() / "knotvane-bench-XXXXXX").string();
     std::string dir = mkdtemp(pattern.data());
     {
         constexpr Time length = 700 * ms;
         constexpr int rounds = 5;
-        fleet::Fleet fleet(dir, 1, 1, 0, fleet::default_scheduling(), fleet::default_service(),
+        fleet::Fleet fleet(dir, nodes, 1, 0, fleet::default_scheduling(), fleet::default_service(),
                            [](Actions &a, std::uint64_t seed) { return make_scheduler(a, seed); });
         fleet.start();
         fleet::Worker worker;
@@ -101,7 +103,7 @@
                 });
                 load::Shape shape;
                 shape.address = fleet.edge_address(0), shape.volume = "members";
-                shape.flying = static_cast<std::uint32_t>(flying), shape.length = length, shape.region = 256 << 10;
+                shape.flying = static_cast<std::uint32_t>(flying), shape.length = length, shape.region = nodes * (1 << 20);
                 std::unique_ptr<load::Stream> s;
                 worker.run([&] { s = std::make_unique<load::Stream>(worker.loop(), shape); });
                 wait_for<load::Stream>(worker, *s, [](load::Stream &x) { return x.over(); });
--- a/src/core/samples.hpp
+++ b/src/core/samples.hpp
@@ -29,6 +29,7 @@
     auto begin() const { return kept_.begin() + begin_; }
     auto end() const { return kept_.begin() + end_; }
     T most() const { return empty() ? T{} : *std::max_element(begin(), end()); }
+    T least() const { return empty() ? T{} : *std::min_element(begin(), end()); }
     // The value that the given part of the samples lies under.
     T quantile(double part) const {
         if (empty())
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "nbd/wire.hpp"
 
@@ -197,10 +198,13 @@
 // Its requests are withdrawn; what it was still to be sent is sent where it said good-bye itself.
 void Core::drop_client(ClientId id) {
     auto it = clients_.find(id);
+    // One client leaves once, however much it had at work: what it asked first tells how long it waited. Told of
+    // each of its tasks, the decisions would take one program that ends for a crowd that runs out of patience.
+    bool told = false;
     for (auto no : std::set<RequestNo>(it->second->requests)) {
         for (auto task : std::set<TaskId>(requests_.at(no).tasks)) {
             auto &t = tasks_.at(task);
-            scheduler_->task_withdrawn(now_, task, true);
+            scheduler_->task_withdrawn(now_, task, !std::exchange(told, true));
             stirred_ = true;
             end_task(task, t);
         }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -122,7 +122,7 @@
             if (at > now - fresh) fresh_u += au, fresh_t += s;
         }
         if (took_.size() == lately) best_.add(t / u);
-        if (best_.empty() || size_ <= 1 ? slow : fresh_t / fresh_u >= 2 * best_.quantile(0))
+        if (best_.empty() || size_ <= 1 ? slow : fresh_t / fresh_u >= 2 * best_.least())
             halve(now, took);
         else if (!best_.empty() || size_ < 1)
             size_ = std::min(ceiling, size_ + std::min(size_, 1 / size_));
@@ -251,8 +251,8 @@
     Samples<std::pair<double, bool>, 32> turns_; // past 32 the filter's weight is under a fiftieth
 };
 
-// ---- What waits at a node, so that who is too late is found without a look at everybody: with thousands that
-// wait the look itself would make all of them late.
+// ---- What waits at a node, so that who is too late is found without a look at everybody: with thousands
+// that wait the look itself would make all of them late.
 class Waiting {
   public:
     using Place = std::pair<VolumeId, Volumes::Rank>; // in the order in which volumes and their tasks stand
@@ -466,10 +466,8 @@
         now_ = now;
         auto it = tasks_.find(id);
         if (it == tasks_.end() || it->second.ended) return;
-        if (by_client) {
-            left_.add({now, it->second.volume, now - it->second.taken});
-            unanswered_[alike(it->second)] = it->second.first_due;
-        }
+        if (by_client) left_.add({now, it->second.volume, now - it->second.taken});
+        unanswered_[alike(it->second)] = it->second.first_due;
         end(it->second);
         forget_if_done(it);
     }
@@ -485,7 +483,6 @@
             give_up(it->second, 0), forget_if_done(it);
         }
         advance();
-        elsewhere_ = unit_time_.quantile(0.25);
         for (auto it = busy_.begin(); it != busy_.end();) {
             Node &node = nodes_.at(*it);
             serve(node);
@@ -658,9 +655,9 @@
             shoot(node, t);
         }
     }
-    // How long a volume's clients wait now, where many leave early (eight in two seconds): the quick quarter of
-    // them. Guards against serving only who is about to go. Those of one volume tell of it alone, those of four or
-    // more of everybody: one client that hangs up again and again must not shorten the wait of all.
+    // How long a volume's clients wait now, where many leave early (eight in two seconds): the quick quarter
+    // of them. Guards against serving only who is about to go. Those of one volume tell of it alone, those of
+    // four or more of everybody: one client that hangs up again and again must not shorten the wait of all.
     Time clients_wait(VolumeId volume) const {
         Samples<Time, 32> lately, own;
         std::set<VolumeId> volumes;
@@ -768,7 +765,7 @@
             node.ghosts.erase(node.ghosts.begin(), node.ghosts.lower_bound(node.overtaken));
             node.took.add(took), node.fulls = 1;
             node.answers.add({now_, std::max(t.units, 1.0), seconds(took)}), node.reckoned_until = 0;
-            unit_time_.add(seconds(took) / std::max(t.units, 1.0));
+            unit_time_.add(seconds(took) / std::max(t.units, 1.0)), elsewhere_ = unit_time_.quantile(0.25);
             node.window.answered(now_, std::max(t.units, 1.0), took, 2 * took > t.due - t.taken);
         } else if (how == Outcome::full) {
             node.window.halve(now_, node.took.quantile(0.5));
@@ -785,7 +782,9 @@
     // silent and must not fill with doomed shots. Harm: costly tasks are overtaken too, and a long pause
     // costs.
     void watch(Node &node) {
-        Time since = now_ - node.patience(), slow = now_ - 3 * node.took.quantile(0.5);
+        Time since = now_ - node.patience(), slow = 0;
+        if (!node.out.empty() && node.out.begin()->first < node.overtaken)
+            slow = now_ - 3 * node.took.quantile(0.5);
         node.overdue = 0;
         for (auto it = node.out.begin(); it != node.out.end(); ++it)
             node.overdue += it->first < since || (it->first < node.overtaken && it->first < slow);
@@ -843,7 +842,7 @@
     std::set<TaskId> moving_;                 // in turn, limit or placement
     std::set<std::pair<Time, TaskId>> calls_; // every task that is owed an answer, by its last call
     std::map<VolumeId, LimitPart> limits_;
-    Samples<std::tuple<Time, VolumeId, Time>, 32> left_; // clients who left early: when, whose, after how long
+    Samples<std::tuple<Time, VolumeId, Time>, 32> left_; // clients who left: when, whose, after how long
     std::map<Alike, Time> unanswered_; // tasks ended without an answer, and when their first try was due
     Samples<double, 64> unit_time_;    // of the last answers of all nodes
     std::map<VolumeId, Recent> asked_; // units, by volume
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -79,7 +79,8 @@
     // `elsewhere`: units this node served to the volume for other schedulers.
     virtual void shot_ended(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took,
                             bool ended, double meter, double elsewhere, std::span<const float> report) = 0;
-    // `by_client`: it left, which tells how long clients wait; else its answer was given on other grounds.
+    // `by_client`: its client left, which tells how long clients wait; told once for each client that leaves, of
+    // the first task that it had waiting.
     virtual void task_withdrawn(Time now, TaskId task, bool by_client) = 0;
     virtual void probe_ended(Time, NodeId, bool /*well*/, Time /*took*/, std::span<const float> /*report*/) {}
     virtual void peer_told(Time, PeerId, std::string_view /*text*/) {}
--- a/src/rules/judge.cpp
+++ b/src/rules/judge.cpp
@@ -40,6 +40,7 @@
     std::map<std::uint64_t, std::string> data;                          // of a read, by offset
     std::vector<std::pair<std::uint64_t, std::uint32_t>> parts_done;    // of a write
     std::set<std::uint64_t> parts_begun;                                // offsets that have a task
+    std::vector<std::uint64_t> hashes; // of what is written, by block
     std::vector<std::uint64_t> tasks;
     std::vector<std::pair<NodeId, Time>> answered_by;
     Time lost_at = 0; // surely lost then
@@ -63,11 +64,12 @@
     Wire(Judge &j, WireId i, EdgeId e) : judge(j), id(i), edge(e) {}
     bool frame(frames::Kind kind, std::uint8_t frame_flags, frames::Status status, std::uint64_t tag, VolumeId v,
                std::uint64_t offset, std::uint32_t length, std::uint32_t units, std::uint64_t, std::uint64_t number,
-               Time, ShardId shard, std::string_view) override {
+               Time, ShardId shard, std::string_view payload) override {
         if (from_edge && kind >= frames::Kind::read && kind <= frames::Kind::status) {
             numbers[tag] = number;
             if (kind == frames::Kind::flush || (frame_flags & frames::flag_durable)) judge.flush_asked_[*node] = now;
-            judge.shot(now, *this, kind, tag, v, offset, length, units / 1000.0, number, shard);
+            judge.shot(now, *this, kind, tag, v, offset, length, units / 1000.0, number, shard,
+                       payload.size() >= block ? hash_of(payload.substr(0, block)) : hash_of_zeroes);
             return true;
         }
         bool off = from_edge && kind == frames::Kind::call_off;
@@ -297,9 +299,10 @@
     if (kind != 1 && kind != 2) return;
     open_[w.edge].push_back(r);
     undurable_.push_back(r);
-    for (std::uint64_t i = 0; i < length / block; ++i)
-        history_[{w.volume, offset / block + i}].emplace_back(
-            r, kind == 1 ? hash_of(data.substr(i * block, block)) : hash_of_zeroes);
+    for (std::uint64_t i = 0; i < length / block; ++i) {
+        r->hashes.push_back(kind == 1 ? hash_of(data.substr(i * block, block)) : hash_of_zeroes);
+        history_[{w.volume, offset / block + i}].emplace_back(r, r->hashes.back());
+    }
 }
 
 void Judge::got(Wire &w, std::uint64_t cookie, std::uint64_t offset, std::string_view data) {
@@ -408,7 +411,7 @@
 }
 
 void Judge::shot(Time now, Wire &w, frames::Kind kind, std::uint64_t tag, VolumeId volume, std::uint64_t offset,
-                 std::uint32_t length, double units, std::uint64_t number, ShardId shard) {
+                 std::uint32_t length, double units, std::uint64_t number, ShardId shard, std::uint64_t first) {
     ++shots_;
     auto [it, is_new] = tasks_.try_emplace({w.edge, number});
     TaskSeen &t = it->second;
@@ -425,7 +428,8 @@
                     offset == std::max(r->offset, offset / write_cut_ * write_cut_) &&
                     offset + length ==
                         std::min(r->offset + r->length, (offset / write_cut_ + 1) * write_cut_) &&
-                    !r->parts_begun.contains(offset)) {
+                    // Two may ask for the same range at once: what is written tells whose the piece is.
+                    r->hashes[(offset - r->offset) / block] == first && !r->parts_begun.contains(offset)) {
                     r->parts_begun.insert(offset);
                     r->tasks.push_back(number);
                     t.request = r;
--- a/src/rules/judge.hpp
+++ b/src/rules/judge.hpp
@@ -107,7 +107,7 @@
     void ended(Time now, Wire &w, std::uint64_t cookie, std::uint32_t error);
     void check_read(Time now, Request &r);
     void shot(Time now, Wire &w, frames::Kind kind, std::uint64_t tag, VolumeId volume, std::uint64_t offset,
-              std::uint32_t length, double units, std::uint64_t number, ShardId shard);
+              std::uint32_t length, double units, std::uint64_t number, ShardId shard, std::uint64_t first);
     void shot_over(Time now, TaskSeen &t, ShotSeen &s, bool proved, bool known);
     void check_waiting(Time now);
     void check_order(Time now, EdgeId edge, TaskSeen &t);
--- a/tests/gateway/door_test.cpp
+++ b/tests/gateway/door_test.cpp
@@ -86,3 +86,57 @@
     CHECK(core.tasks() == 0);
     CHECK(shell.held.empty());
 }
+TEST_CASE("a client that leaves is told to the decisions once, however much it had at work") {
+    struct Counting final : Scheduler {
+        int left = 0, others = 0;
+        void set_place(PeerId, std::uint32_t, ZoneId) override {}
+        void set_clock(Time, Time) override {}
+        void add_workload(WorkloadId, Time, Time, double, double) override {}
+        void set_repeat(WorkloadId, Repeat, Group, Time) override {}
+        void set_turns(WorkloadId, Time) override {}
+        void add_plan(PlanId, double, double, double, double) override {}
+        void set_limit(PlanId, double, double) override {}
+        void set_units(double, double, double, double) override {}
+        void set_shots(std::uint32_t, bool, bool) override {}
+        void set_further_shots(double, double, Time) override {}
+        void set_denials(Time) override {}
+        void set_clients(bool) override {}
+        void set_list(bool, Time, Time) override {}
+        void set_cold(double, Time, Time, double) override {}
+        void ready(Time) override {}
+        void list_begins(Time, ListKind) override {}
+        void node_listed(NodeId, ShardId, ZoneId, NodeState, Time) override {}
+        void list_ends() override {}
+        void list_failed(Time) override {}
+        void task_taken(Time, TaskId, WorkloadId, VolumeId, PlanId, ShardId, KeyId, double, double, bool, bool,
+                        Time) override {}
+        void shot_ended(Time, TaskId, ShotId, NodeId, Outcome, Time, bool, double, double,
+                        std::span<const float>) override {}
+        void task_withdrawn(Time, TaskId, bool by_client) override { ++(by_client ? left : others); }
+        void alarm(Time, AlarmId) override {}
+        void settle(Time) override {}
+    };
+    Closed shell;
+    Counting *counted = nullptr;
+    edge::Core core(shell, [&](Actions &) {
+        auto made = std::make_unique<Counting>();
+        counted = made.get();
+        return made;
+    }, 0, 1, 256 << 10, 64 << 10, 64 << 10, {ShardId{0}});
+    core.add_workload(WorkloadId{0}, edge::Command::read, ~0u, {}, sec, 0);
+    core.add_volume(VolumeId{1}, "v", 64 << 20, 512, PlanId{0}, 1);
+    core.ready(0);
+    core.client_came(0, edge::ClientId{1});
+    std::string hello;
+    nbd::put(hello, std::uint32_t{3});
+    nbd::put(hello, nbd::option_magic);
+    nbd::put(hello, nbd::opt_export_name);
+    nbd::put(hello, std::uint32_t{1});
+    Quiet quiet;
+    load::Session session(quiet, "v", true);
+    for (std::uint64_t i = 0; i < 9; ++i) session.ask(nbd::cmd_read, 0, i, i * 4096, 4096);
+    core.client_bytes(0, edge::ClientId{1}, hello + "v" + session.take_out());
+    core.client_gone(ms, edge::ClientId{1});
+    CHECK(counted->left == 1);
+    CHECK(counted->others == 8);
+}
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -55,9 +55,10 @@
         j.bytes(at, client, true, r + data);
     }
     std::uint64_t shot(Time at, frames::Kind kind, std::uint64_t task, std::uint64_t offset, WireId wire = WireId{2},
-                       int shard = 0, std::uint32_t units = 1000) {
+                       int shard = 0, std::uint32_t units = 1000, char fill = 'x') {
         j.bytes(at, wire, true,
-                frames::make(kind, 0, {}, ++tag, VolumeId{5}, offset, 512, units, 1, task, 0, ShardId{shard}, {}));
+                frames::make(kind, 0, {}, ++tag, VolumeId{5}, offset, 512, units, 1, task, 0, ShardId{shard},
+                             kind == frames::Kind::write ? std::string(512, fill) : ""));
         return tag;
     }
     void answer(Time at, std::uint64_t t, frames::Status status = frames::Status::ok, WireId wire = WireId{2}) {
@@ -71,7 +72,7 @@
     // A write done as it should be.
     void write(Time at, std::uint64_t id, std::uint64_t offset, char fill) {
         ask(at, nbd::cmd_write, id, offset, fill);
-        answer(at + 2, shot(at + 1, frames::Kind::write, id, offset));
+        answer(at + 2, shot(at + 1, frames::Kind::write, id, offset, WireId{2}, 0, 1000, fill));
         reply(at + 3, id);
     }
 };
@@ -129,6 +130,15 @@
     for (Time i = 0; i < 4; ++i) many.answer(sec + 2 * i + 1, many.shot(sec + 2 * i, Kind::write, 1, 0), Status::full);
     CHECK(many.broken(Rule::effects) == 1);
 }
+TEST_CASE("two writes over the same range at once: what is written tells whose a shot is") {
+    Scene s;
+    s.ask(sec, nbd::cmd_write, 1, 0, 'a');
+    s.ask(sec, nbd::cmd_write, 2, 0, 'b');
+    s.answer(sec + 2, s.shot(sec + 1, Kind::write, 2, 0, WireId{2}, 0, 1000, 'b'));
+    s.reply(sec + 3, 2);
+    s.reply(sec + 4, 1, nbd::e_nomem); // never sent: the denial is true
+    CHECK(s.broken(Rule::effects) == 0);
+}
 TEST_CASE("rule 3: a shot later than the grace after the edge was told") {
     Scene s, t;
     for (auto *x : {&s, &t}) x->j.told(sec, EdgeId{0}, NodeId{1}, NodeState::draining);
