Drop what the edge's core kept twice; one test for asks that change what is stored

A request's count of tasks left was the size of its set of tasks; its offset and a task's time of taking were never read; the same two kinds were compared in four places (now frames::changes). Behaviour is as it was.

--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -124,7 +124,8 @@
 Core::~Core() = default;
 
 void Core::set_links(std::size_t each, Time connect, Time stall, Time idle, std::size_t most_out) {
-    links_ = std::make_unique<Links>(shell_, static_cast<Told &>(*this), id_, life_, each, connect, stall, idle, most_out);
+    links_ = std::make_unique<Links>(shell_, static_cast<Told &>(*this), id_, life_, each, connect, stall, idle,
+                                     most_out);
 }
 void Core::set_door(std::uint32_t flying, std::uint32_t request, std::size_t tasks, std::size_t bytes) {
     flying_ = flying, request_ = request, most_tasks_ = tasks, most_bytes_ = bytes;
@@ -228,9 +229,9 @@
 }
 
 // ---- Requests become tasks.
-RequestNo Core::open(Client &c, nbd::RequestId id, Command command, std::uint64_t offset, std::size_t bytes) {
+RequestNo Core::open(Client &c, nbd::RequestId id, Command command, std::size_t bytes) {
     RequestNo no{++next_request_};
-    requests_[no] = {c.id, id, command, offset, bytes, 0, false, {}, 0};
+    requests_[no] = {c.id, id, command, bytes, false, {}, 0};
     c.requests.insert(no);
     bytes_ += bytes;
     return no;
@@ -249,18 +250,17 @@
     work->number = id.value;
     work->numbered = writes && w->window > 0;
     Time until = now_ + w->client_timeout;
-    auto &r = requests_.at(no);
-    r.tasks.insert(id), ++r.left;
+    requests_.at(no).tasks.insert(id);
     auto shard = work->shard;
     auto units = work->units;
-    tasks_[id] = {no, false, std::move(work), until, w->window, now_, {}, {}, 0};
+    tasks_[id] = {no, false, std::move(work), until, w->window, {}, {}, 0};
     scheduler_->task_taken(now_, id, w->id, c.volume->id, c.volume->plan, shard, key, units, c.volume->hosts, writes,
                            false, until);
     stirred_ = true;
 }
 
 void Core::read(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length) {
-    auto no = open(c, id, Command::read, offset, length);
+    auto no = open(c, id, Command::read, length);
     while (length > 0 && requests_.contains(no)) {
         auto n = layout_.cut(offset, length, false);
         take(no, c, Command::read,
@@ -275,7 +275,7 @@
 void Core::change(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length,
                   std::string_view data, bool zeroes, bool fua) {
     auto command = zeroes ? Command::zero : Command::write;
-    auto no = open(c, id, command, offset, data.size());
+    auto no = open(c, id, command, data.size());
     while (length > 0 && requests_.contains(no)) {
         auto n = layout_.cut(offset, length, true);
         // Zeroes cost a node little, whatever their length.
@@ -291,7 +291,7 @@
 }
 
 void Core::flush(Client &c, nbd::RequestId id) {
-    auto no = open(c, id, Command::flush, 0, 0);
+    auto no = open(c, id, Command::flush, 0);
     auto &r = requests_.at(no);
     r.mark = c.volume->unflushed.mark();
     auto shards = c.volume->unflushed.to_reach();
@@ -306,7 +306,7 @@
 void Core::status(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length) {
     // An answer may be shorter than what was asked: the first extent's part is told.
     auto n = layout_.cut(offset, length, false);
-    auto no = open(c, id, Command::status, offset, 0);
+    auto no = open(c, id, Command::status, 0);
     take(no, c, Command::status,
          std::make_shared<Work>(Work{frames::Kind::status, c.volume->id, layout_.shard_of(c.volume->id, offset),
                                      offset, n, 1, false, 0, false, 0, {}}),
@@ -328,7 +328,7 @@
         return;
     }
     Time until = time_out > 0 ? std::min(now_ + time_out, t.client_timeout) : t.client_timeout;
-    if (shot == ShotId{0} && (t.work->kind == frames::Kind::write || t.work->kind == frames::Kind::zero))
+    if (shot == ShotId{0} && frames::changes(t.work->kind))
         // One moment for all its shots: past it no copy is done, and until it the node remembers the mark. So
         // there is no time at which a late copy meets neither.
         t.work->not_after = t.window > 0 ? now_ + t.window : t.client_timeout;
@@ -338,10 +338,7 @@
 void Core::end_task(TaskId id, Task &t) {
     if (t.ended) return;
     t.ended = true;
-    if (auto r = requests_.find(t.request); r != requests_.end()) {
-        r->second.tasks.erase(id);
-        --r->second.left;
-    }
+    if (auto r = requests_.find(t.request); r != requests_.end()) r->second.tasks.erase(id);
     forget_if_done(id);
 }
 void Core::forget_if_done(TaskId id) {
@@ -468,7 +465,7 @@
             delivered(t, over);
             auto no = t.request;
             end_task(over.task, t);
-            if (auto r = requests_.find(no); r != requests_.end() && r->second.left == 0) {
+            if (auto r = requests_.find(no); r != requests_.end() && r->second.tasks.empty()) {
                 if (r->second.command == Command::flush) {
                     finish_flush(no, r->second);
                 } else {
@@ -478,7 +475,7 @@
                     clients_.at(client)->session.done(id);
                 }
             }
-        } else if (well && (t.work->kind == frames::Kind::write || t.work->kind == frames::Kind::zero)) {
+        } else if (well && frames::changes(t.work->kind)) {
             // Written though its client was told otherwise: a flush later must still cover it.
             for (auto &v : volumes_)
                 if (v.id == t.work->volume) v.unflushed.written(t.work->shard, over.life);
--- a/src/edge/core.hpp
+++ b/src/edge/core.hpp
@@ -120,17 +120,16 @@
         ClientId client;
         nbd::RequestId id;
         Command command;
-        std::uint64_t offset;
-        std::size_t bytes, left = 0;
+        std::size_t bytes;
         bool some_done = false;
-        std::set<TaskId> tasks;
+        std::set<TaskId> tasks; // not ended yet
         std::uint64_t mark = 0; // of a flush
     };
     struct Task {
         RequestNo request;
         bool ended = false;
         std::shared_ptr<Work> work;
-        Time client_timeout, window, taken;
+        Time client_timeout, window;
         std::vector<NodeId> shots;
         std::vector<Time> sent;
         std::size_t out = 0;
@@ -151,7 +150,7 @@
                 bool zeroes, bool fua);
     void flush(Client &c, nbd::RequestId id);
     void status(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length);
-    RequestNo open(Client &c, nbd::RequestId id, Command command, std::uint64_t offset, std::size_t bytes);
+    RequestNo open(Client &c, nbd::RequestId id, Command command, std::size_t bytes);
     void take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key);
     // From links.
     void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, frames::Status status,
--- a/src/frames/frames.hpp
+++ b/src/frames/frames.hpp
@@ -22,6 +22,8 @@
     call_off = 8, // of the ask with this tag: not to be started
     answer = 9,
 };
+// Whether such an ask changes what is stored.
+constexpr bool changes(Kind kind) { return kind == Kind::write || kind == Kind::zero; }
 // The order is that on the wire.
 enum class Status : std::uint16_t { ok, error, full, too_late, bad_checksum, misdirected, called_off };
 
--- a/src/rules/judge.cpp
+++ b/src/rules/judge.cpp
@@ -156,7 +156,7 @@
             if (by == node && flush_asked_[node] < at) r->lost_at = now;
     }
 }
-void Judge::killed(Time now, EdgeId edge) {
+void Judge::killed(Time, EdgeId edge) {
     for (auto &[id, w] : wires_)
         if (w->edge == edge) {
             for (auto &[cookie, r] : w->flying) r->open = false;
@@ -165,7 +165,6 @@
     writing_.erase(edge);
     open_.erase(edge);
     further_.erase(edge), taken_.erase(edge);
-    (void)now;
 }
 
 void Judge::bytes(Time now, WireId wire, bool from_edge, std::string_view in) {
@@ -372,14 +371,13 @@
         auto h = hash_of(std::string_view(all).substr(i * block, block));
         auto &hist = history_[{r.volume, r.offset / block + i}];
         // What was there before any write is the oldest of all.
-        bool valid = false;
         auto overwritten = [&](Time end) {
             return std::any_of(hist.begin(), hist.end(), [&](auto &x) {
                 auto &o = *x.first;
                 return o.acked && !o.shaky && end < o.start && o.end < r.start;
             });
         };
-        valid = h == hash_of_zeroes && !overwritten(-1);
+        bool valid = h == hash_of_zeroes && !overwritten(-1);
         for (auto &[w, hash] : hist)
             valid = valid || (hash == h && w->start <= now && !overwritten(w->end));
         if (!valid) {
@@ -417,7 +415,7 @@
     TaskSeen &t = it->second;
     int command = static_cast<int>(kind) - static_cast<int>(frames::Kind::read);
     const Figures &f = figures_[static_cast<std::size_t>(command)];
-    bool writes = kind == frames::Kind::write || kind == frames::Kind::zero;
+    bool writes = frames::changes(kind);
     if (is_new) {
         t.kind = kind, t.volume = volume, t.offset = offset, t.length = length;
         by_age_.emplace_back(now, it->first);
@@ -562,7 +560,7 @@
 
 void Judge::shot_over(Time now, TaskSeen &t, ShotSeen &s, bool proved, bool known) {
     s.out = false, s.proved = proved;
-    bool writes = t.kind == frames::Kind::write || t.kind == frames::Kind::zero;
+    bool writes = frames::changes(t.kind);
     if (writes && !known)
         t.rest_until = std::max(t.rest_until, now + figures_[t.kind == frames::Kind::write ? 1 : 2].key_rest - slack_);
 }
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -324,11 +324,10 @@
     auto conn = c->conn;
     w.judge.bytes(w.now, rules::WireId{conn->id}, true, bytes);
     auto size = bytes.size();
-    w.carry(*conn, conn->to_edge, std::move(bytes), [this, c, conn, id, size](std::string_view b) {
+    w.carry(*conn, conn->to_edge, std::move(bytes), [c, conn](std::string_view b) {
         if (c->conn != conn || !conn->open) return;
         c->session->bytes(b);
         c->flush_out();
-        (void)size;
     });
     w.at(w.now + w.delay(), [this, id, size] {
         core->client_written(w.now, id, size);
