--- a/src/cli/part.hpp
+++ b/src/cli/part.hpp
@@ -17,13 +17,15 @@
 // alive. Exit codes: 0 stopped by a signal, 1 it could not run, 2 usage or settings.
 inline int run_part(int argc, char **argv, const std::string &about,
                     const std::function<void(settings::File &)> &check,
-                    const std::function<std::shared_ptr<void>(loop::Loop &, settings::File &)> &start) {
+                    const std::function<std::shared_ptr<void>(loop::Loop &, settings::File &)> &start,
+                    const std::function<void(CLI::App &)> &options = [](CLI::App &) {}) {
     CLI::App app{about};
     std::string config, level = "info";
     bool json = false;
     app.add_option("--config", config, "settings (INI); see `knotvane check`")->required();
     app.add_option("--log", level, "least level of the log")->check(CLI::IsMember({"debug", "info", "warn", "error"}));
     app.add_flag("--log-json", json, "log as JSON lines");
+    options(app);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &e) {
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -51,7 +51,7 @@
     Core &core;
     ClientId id;
     nbd::Session session;
-    Volume *volume = nullptr;
+    Volume *volume = nullptr; // once it has chosen one
     std::set<RequestNo> requests;
     std::uint64_t seen_losses = 0;
     std::size_t out = 0; // handed to the shell and not yet written
@@ -61,27 +61,30 @@
 
     std::vector<std::string> exports() override {
         std::vector<std::string> out_names;
-        for (auto &v : core.volumes_) out_names.push_back(v.name);
+        for (auto &[name, _] : core.table_->names) out_names.push_back(name);
         return out_names;
     }
-    Volume *find(std::string_view name) {
-        for (auto &v : core.volumes_)
-            if (v.name == name || name.empty()) return &v;
-        return nullptr;
+    std::optional<VolumeId> find(std::string_view name) const {
+        auto &names = core.table_->names;
+        auto it = name.empty() ? names.begin() : names.find(name);
+        if (it == names.end()) return std::nullopt;
+        return it->second;
     }
     bool describe(std::string_view name, std::uint64_t &size, std::uint16_t &flags, std::uint32_t &least,
                   std::uint32_t &preferred, std::uint32_t &most) override {
-        auto *v = find(name);
-        if (!v) return false;
-        size = v->size, least = v->least, preferred = 4096, most = core.request_;
+        auto found = find(name);
+        if (!found) return false;
+        auto &v = core.table_->volumes.at(*found);
+        size = v.size, least = v.least, preferred = 4096, most = core.request_;
         flags = nbd::send_flush | nbd::send_fua | nbd::send_trim | nbd::send_write_zeroes | nbd::send_df |
                 nbd::send_cache;
         // A flush here reaches what this edge wrote, on any connection; what another edge wrote it can't know.
-        if (v->hosts == 1) flags |= nbd::can_multi_conn;
+        auto part = core.table_->parts.find(*found);
+        if (part != core.table_->parts.end() && part->second.hosts == 1) flags |= nbd::can_multi_conn;
         return true;
     }
     void opened(std::string_view name) override {
-        volume = find(name);
+        volume = &core.open_volume(*find(name));
         seen_losses = volume->unflushed.losses();
     }
     void read(nbd::RequestId r, std::uint64_t offset, std::uint32_t length, bool) override {
@@ -132,9 +135,38 @@
 }
 void Core::add_volume(VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least, PlanId plan,
                       std::uint32_t hosts) {
-    volumes_.push_back({id, name, size, least, plan, hosts, {}});
+    own_.put(id, facts::Volume{name, size, least, plan});
+    own_.put(id, facts::Part{facts::whole_limit / hosts, hosts});
+}
+Core::Volume &Core::open_volume(VolumeId id) {
+    auto &v = opened_[id];
+    v.id = id;
+    follow_facts(v);
+    if (++v.clients == 1) shell_.volume_used(id, true);
+    return v;
+}
+void Core::follow_facts(Volume &v) {
+    // One that is gone from the table stays as it was for the clients that have it.
+    if (auto it = table_->volumes.find(v.id); it != table_->volumes.end()) v.plan = it->second.plan;
+    if (auto it = table_->parts.find(v.id); it != table_->parts.end()) v.hosts = std::max(1u, it->second.hosts);
+}
+void Core::facts_changed(Time now) {
+    now_ = now;
+    for (auto &[id, v] : opened_) follow_facts(v);
+    stirred_ = true;
+}
+void Core::plan_told(PlanId id, double weight, double usual, double reserve, double price, double rate,
+                     double burst) {
+    scheduler_->add_plan(id, weight, usual, reserve, price);
+    scheduler_->set_limit(id, rate, burst);
+    stirred_ = true;
 }
-void Core::add_workload(WorkloadId id, Command command, std::uint32_t up_to, std::optional<VolumeId> volume,
+void Core::part_told(Time now, VolumeId volume, double hosts) {
+    now_ = now;
+    scheduler_->part_told(now, volume, hosts);
+    stirred_ = true;
+}
+void Core::add_workload(WorkloadId id, Command command, std::uint32_t up_to, const std::string &volume,
                         Time client_timeout, Time window) {
     workloads_.push_back({id, command, up_to, volume, client_timeout, window});
 }
@@ -213,9 +245,11 @@
     }
     if (auto rest = it->second->session.take_out(); !rest.empty()) shell_.send_client(id, std::move(rest));
     bytes_ -= std::min(it->second->out, bytes_);
+    auto *volume = it->second->volume;
     touched_.erase(id);
     clients_.erase(it);
     shell_.close_client(id);
+    if (volume && --volume->clients == 0) shell_.volume_used(volume->id, false);
 }
 
 // Past the bounds no client is read from, until enough has gone that reading does not stop and start all the time.
@@ -238,8 +272,12 @@
 }
 
 void Core::take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key) {
+    auto is_for = [&](const std::string &volume) {
+        auto it = table_->names.find(volume);
+        return volume.empty() || (it != table_->names.end() && it->second == c.volume->id);
+    };
     auto w = std::find_if(workloads_.begin(), workloads_.end(), [&](auto &x) {
-        return x.command == command && work->length <= x.up_to && (!x.volume || *x.volume == c.volume->id);
+        return x.command == command && work->length <= x.up_to && is_for(x.volume);
     });
     if (w == workloads_.end()) { // settings are checked for this
         fail_request(no, nbd::e_io, "errored: no workload is for this request", work->offset);
@@ -477,8 +515,7 @@
             }
         } else if (well && frames::changes(t.work->kind)) {
             // Written though its client was told otherwise: a flush later must still cover it.
-            for (auto &v : volumes_)
-                if (v.id == t.work->volume) v.unflushed.written(t.work->shard, over.life);
+            opened_.at(t.work->volume).unflushed.written(t.work->shard, over.life);
         }
         forget_if_done(over.task);
     }
--- a/src/edge/core.hpp
+++ b/src/edge/core.hpp
@@ -20,6 +20,7 @@
 #include "edge/layout.hpp"
 #include "edge/links.hpp"
 #include "edge/unflushed.hpp"
+#include "facts/table.hpp"
 #include "nbd/server.hpp"
 #include "policy.hpp"
 
@@ -34,8 +35,10 @@
     virtual void hold_client(ClientId client, bool hold) = 0;
     // For the log: what happened to the fleet or to a connection.
     virtual void say(std::string text) = 0;
-    // A shot has ended, for the log.
+    // A shot has ended, for the log and for who asks whether nodes are reached.
     virtual void shot_ended(TaskId task, NodeId node, Outcome how, Time took) = 0;
+    // A volume has its first client here, or lost its last.
+    virtual void volume_used(VolumeId, bool) {}
 };
 
 // The kinds of command that a workload can be for.
@@ -59,12 +62,21 @@
     // `least`: bytes that requests are aligned to. `hosts`: edges that serve it.
     void add_volume(VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least, PlanId plan,
                     std::uint32_t hosts);
-    // Tasks of this command of at most `up_to` bytes, on this volume (none: on all), are of the workload; the
-    // first that fits counts. `window`: how long nodes drop a repeat, 0 if not numbered.
-    void add_workload(WorkloadId id, Command command, std::uint32_t up_to, std::optional<VolumeId> volume,
+    // Tasks of this command of at most `up_to` bytes, on the volume of this name (empty: on all), are of the
+    // workload; the first that fits counts. `window`: how long nodes drop a repeat, 0 if not numbered.
+    void add_workload(WorkloadId id, Command command, std::uint32_t up_to, const std::string &volume,
                       Time client_timeout, Time window);
     void ready(Time now);
 
+    // Volumes come from this table from now on, which the caller changes as it likes and says so after it:
+    // then what is open here follows. Time by the volumes open, not by those there are.
+    void follow(const facts::Table &table) { table_ = &table; }
+    void facts_changed(Time now);
+    // A plan as it is from now on; a rate of 0 is no limit.
+    void plan_told(PlanId id, double weight, double usual, double reserve, double price, double rate, double burst);
+    // This edge's part of a volume's limit is one over `hosts`; endless for none.
+    void part_told(Time now, VolumeId volume, double hosts);
+
     // The list of nodes, as a whole: begin, a call for each node, end. A version that is not above the last
     // one is not taken (false).
     bool list_begins(Time now, std::uint64_t version);
@@ -100,20 +112,19 @@
   private:
     struct Client;
     struct Deeds;
+    // One that has or had a client.
     struct Volume {
         VolumeId id;
-        std::string name;
-        std::uint64_t size;
-        std::uint32_t least;
         PlanId plan;
-        std::uint32_t hosts;
+        std::uint32_t hosts = 1;
+        std::size_t clients = 0;
         Unflushed unflushed;
     };
     struct WorkloadFor {
         WorkloadId id;
         Command command;
         std::uint32_t up_to;
-        std::optional<VolumeId> volume;
+        std::string volume; // empty: any
         Time client_timeout, window;
     };
     struct Request {
@@ -166,6 +177,8 @@
     void finish_flush(RequestNo no, Request &r);
     void forget_if_done(TaskId id);
     void drop_client(ClientId id);
+    Volume &open_volume(VolumeId id);
+    void follow_facts(Volume &v);
     void door();
     void work_off();
 
@@ -181,7 +194,9 @@
     Time now_ = 0;
     std::uint64_t version_ = 0, next_request_ = 0, next_task_ = 0;
     std::uint64_t delivered_ = 0, denied_ = 0, errored_ = 0;
-    std::vector<Volume> volumes_;
+    facts::Table own_; // of settings; unused where a planner tells
+    const facts::Table *table_ = &own_;
+    std::map<VolumeId, Volume> opened_;
     std::vector<WorkloadFor> workloads_;
     std::map<ClientId, std::unique_ptr<Client>> clients_;
     std::map<RequestNo, Request> requests_;
--- a/src/edge/server.cpp
+++ b/src/edge/server.cpp
@@ -1,5 +1,9 @@
 #include "edge/server.hpp"
 
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
 #include "edge/settings.hpp"
 #include "log/log.hpp"
 
@@ -19,8 +23,6 @@
     });
     read_service(file, core_.get());
     core_->ready(loop::now());
-    read_list();
-    watch_ = std::make_unique<loop::Watch>(loop_, nodes_path_, [this] { read_list(); });
     listener_ = std::make_unique<loop::Listener>(loop_, listen, [this](std::shared_ptr<loop::Socket> s) {
         ClientId id{++next_client_};
         clients_[id] = s;
@@ -33,14 +35,66 @@
         s->start();
         core_->client_came(loop::now(), id);
     });
+    follow_planner(file, seed);
+    if (!subscription_) {
+        read_list();
+        watch_ = std::make_unique<loop::Watch>(loop_, nodes_path_, [this] { read_list(); });
+    }
     loop_.at_end([this] { return end_of_moment(); });
 }
 Server::~Server() {
     loop_.at_end(nullptr);
+    planner_.reset();
     for (auto &[id, s] : clients_) s->close(true);
     for (auto &[id, s] : links_) s->close(true);
 }
 
+void Server::follow_planner(settings::File &file, std::uint64_t seed) {
+    std::string planner;
+    Time renew_every = 0, trust = 0;
+    read_planner(file, [&](std::string at, std::string plan_file, Time every, Time trusted) {
+        planner = at, plan_path_ = plan_file, renew_every = every, trust = trusted;
+    });
+    if (planner.empty()) return;
+    planner_ = std::make_unique<loop::Dialled>(loop_, planner);
+    subscription_ = std::make_unique<Subscription>(*this, facts::EdgeId{id_}, listener_->address(), seed, renew_every,
+                                                   trust);
+    planner_->on_up = [this] { subscription_->up(loop::now()); };
+    planner_->on_down = [this] { subscription_->down(loop::now()); };
+    planner_->on_bytes = [this](std::string_view in) { subscription_->bytes(loop::now(), in); };
+    core_->follow(subscription_->copy().table());
+    std::string fault;
+    subscription_->start(loop::now(), plan_path_.empty() ? "" : settings::File::slurp(plan_path_, fault));
+}
+void Server::volume_used(VolumeId volume, bool on) {
+    if (subscription_) subscription_->volume_used(loop::now(), volume, on);
+}
+void Server::part_told(VolumeId volume, double hosts) { core_->part_told(loop::now(), volume, hosts); }
+void Server::plan_taken(const facts::Table &table, bool nodes, bool plans, const std::map<NodeId, Time> &started) {
+    if (plans)
+        for (auto &[id, p] : table.plans)
+            core_->plan_told(id, p.weight, p.usual, p.reserve, p.price, p.rate, p.burst);
+    core_->facts_changed(loop::now());
+    if (!nodes) return;
+    NodeList list;
+    for (auto &[id, n] : table.nodes)
+        list.nodes.push_back({id, n.address, n.shard, n.zone, n.state, started.at(id)});
+    list.version = ++lists_;
+    take_list(list);
+}
+void Server::keep_plan(std::string bytes, bool anew) {
+    if (plan_path_.empty()) return;
+    // Written beside and renamed, so that a start finds the old plan or the new one; what is added after it and
+    // cut short is dropped at the next start.
+    auto to = anew ? plan_path_ + ".new" : plan_path_;
+    std::ofstream out(to, anew ? std::ios::binary | std::ios::trunc : std::ios::binary | std::ios::app);
+    out << bytes;
+    out.close();
+    bool well = out.good() && (!anew || std::rename(to.c_str(), plan_path_.c_str()) == 0);
+    if (!well && !std::exchange(said_unkept_, true)) say(plan_path_ + ": the last plan can't be kept there");
+    if (well) said_unkept_ = false;
+}
+
 void Server::read_list() {
     std::string fault;
     auto text = settings::File::slurp(nodes_path_, fault);
@@ -58,8 +112,12 @@
         return;
     }
     last_faults_.clear();
+    take_list(list);
+}
+void Server::take_list(const NodeList &list) {
     if (!core_->list_begins(loop::now(), list.version)) return;
-    for (auto &n : list.nodes) core_->node_listed(n.id, n.address, n.shard, n.zone, n.state, n.started);
+    for (auto &n : list.nodes)
+        core_->node_listed(n.id, on_the_way ? on_the_way(n.id, n.address) : n.address, n.shard, n.zone, n.state, n.started);
     core_->list_ends();
     log::line(log::info, "node list taken",
               {{"edge", std::to_string(id_)},
@@ -69,6 +127,7 @@
 }
 
 Time Server::end_of_moment() {
+    if (subscription_) subscription_->tick(loop::now());
     // What was written makes room for more, which is sent in the same moment; a few rounds do.
     for (int round = 0; round < 4; ++round) {
         core_->settle(loop::now());
@@ -84,7 +143,9 @@
                 s->flush();
             }
     }
-    return core_->next_due();
+    if (!subscription_) return core_->next_due();
+    planner_->flush();
+    return std::min(core_->next_due(), subscription_->next_due());
 }
 
 void Server::connect(LinkId id, const std::string &address) {
@@ -131,6 +192,7 @@
 }
 void Server::say(std::string text) { log::line(log::warn, text, {{"edge", std::to_string(id_)}}); }
 void Server::shot_ended(TaskId task, NodeId node, Outcome how, Time took) {
+    if (subscription_) subscription_->shot_ended(loop::now(), node, how);
     if (!log::shown(log::debug)) return;
     static constexpr const char *names[] = {"answered", "error", "full", "timed_out", "unreachable",
                                             "reset", "called_off", "unsent"};
--- a/src/edge/server.hpp
+++ b/src/edge/server.hpp
@@ -9,12 +9,14 @@
 
 #include "edge/core.hpp"
 #include "edge/nodelist.hpp"
+#include "edge/subscription.hpp"
+#include "loop/dialled.hpp"
 #include "loop/loop.hpp"
 #include "settings/ini.hpp"
 
 namespace knotvane::edge {
 
-class Server final : public Shell {
+class Server final : public Shell, public Line {
   public:
     // Sets up from settings that were checked; `scheduler` makes the decisions. Throws std::runtime_error where
     // the address can't be listened on.
@@ -27,6 +29,11 @@
     void read_list();
     // Told after each list that was taken.
     std::function<void(const NodeList &)> on_list;
+    // Gives the address to connect to for a node's; for a relay between.
+    std::function<std::string(NodeId node, const std::string &address)> on_the_way;
+    // With a planner: its word, and whether to leave unread what it says.
+    const Subscription *subscription() const { return subscription_.get(); }
+    void deafen(bool deaf) { planner_->hold(deaf); }
 
     void connect(LinkId link, const std::string &address) override;
     void send(LinkId link, std::string bytes) override;
@@ -36,15 +43,29 @@
     void hold_client(ClientId client, bool hold) override;
     void say(std::string text) override;
     void shot_ended(TaskId task, NodeId node, Outcome how, Time took) override;
+    void volume_used(VolumeId volume, bool on) override;
+    void dial() override { planner_->dial(); }
+    void hang_up() override { planner_->hang_up(); }
+    void send_planner(std::string bytes) override { planner_->send(std::move(bytes)); }
+    void keep_plan(std::string bytes, bool anew) override;
+    void plan_taken(const facts::Table &table, bool nodes, bool plans,
+                    const std::map<NodeId, Time> &started) override;
+    void part_told(VolumeId volume, double hosts) override;
 
   private:
+    void take_list(const NodeList &list);
+    void follow_planner(settings::File &file, std::uint64_t seed);
     Time end_of_moment();
     loop::Loop &loop_;
-    std::string nodes_path_, last_faults_;
+    std::string nodes_path_, plan_path_, last_faults_;
     std::uint64_t id_ = 0, next_client_ = 0;
     std::unique_ptr<Core> core_;
     std::unique_ptr<loop::Listener> listener_;
     std::unique_ptr<loop::Watch> watch_;
+    std::unique_ptr<loop::Dialled> planner_;
+    std::unique_ptr<Subscription> subscription_; // with a planner
+    std::uint64_t lists_ = 0;
+    bool said_unkept_ = false;
     std::map<ClientId, std::shared_ptr<loop::Socket>> clients_;
     std::map<LinkId, std::shared_ptr<loop::Socket>> links_;
     std::set<ClientId> client_out_;
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -2,8 +2,9 @@
 
 #include <limits>
 #include <map>
+#include <set>
 
-#include <xxhash.h>
+#include "settings/fleet_sections.hpp"
 
 namespace knotvane::edge {
 namespace {
@@ -13,51 +14,28 @@
 // What is told of a plan or a volume by its name elsewhere in the file.
 struct Named {
     std::map<std::string, PlanId> plans;
-    std::map<std::string, VolumeId> volumes;
+    std::set<std::string> volumes;
+    bool by_planner = false;
 };
 
-void read_plans(settings::File &file, Core *core, Named &named) {
+// Plans and volumes of an edge that has no planner.
+void read_fleet(settings::File &file, Core *core, Named &named) {
     std::uint32_t next = 0;
-    for (auto *s : file.all("plan")) {
+    settings::read_plans(file, [&](const std::string &name, double weight, double usual, double reserve, double price,
+                                   double rate, double burst) {
         PlanId id{next++};
-        named.plans[s->name()] = id;
-        double weight = s->number("weight", 0, 1e6), usual = s->number("usual", 0, any, 0),
-               reserve = s->number("reserve", 0, any, 0), price = s->number("price", 0, 1e6, 1),
-               rate = s->number("limit", 0, any, 0), burst = s->number("burst", 0, any, 0);
-        if (weight <= 0)
-            s->fault("weight", reserve > 0 ? "a plan with a reserve can't weigh nothing: its reserve would not be met"
-                                           : "expected more than 0");
-        if (rate > 0 && reserve > rate) s->fault("reserve", "expected at most the limit");
-        if ((rate > 0) != (burst > 0)) s->fault("burst", "limit and burst go together");
-        if (!core) continue;
-        core->scheduler().add_plan(id, weight, usual, reserve, price);
-        if (rate > 0) core->scheduler().set_limit(id, rate, burst);
-    }
-    if (named.plans.empty()) file.fault(0, "a section [plan NAME] is missing");
-}
-
-void read_volumes(settings::File &file, Core *core, Named &named) {
-    std::map<std::uint64_t, std::string> ids;
-    for (auto *s : file.all("volume")) {
-        std::uint64_t by_name = XXH3_64bits(s->name().data(), s->name().size());
-        VolumeId id{s->count("id", 0, std::numeric_limits<std::int64_t>::max(), by_name)};
-        if (s->name().empty()) s->fault("", "expected a section like [volume members]");
-        if (auto [it, is_new] = ids.try_emplace(id.value, s->name()); !is_new)
-            s->fault("id", "volume '" + it->second + "' has it, too");
-        named.volumes[s->name()] = id;
-        auto size = s->bytes("size");
-        auto least = s->bytes("align", 512);
-        auto plan = s->text("plan");
-        auto hosts = static_cast<std::uint32_t>(s->count("hosts", 1, 100000, 1));
-        if (least < 512 || least > 65536 || (least & (least - 1)) != 0)
-            s->fault("align", "expected a power of two from 512 to 64KiB");
-        else if (size == 0 || size % least != 0)
-            s->fault("size", "expected a multiple of align, " + std::to_string(least) + ", above 0");
-        if (!named.plans.contains(plan)) s->fault("plan", "no section [plan " + plan + "]");
-        if (core)
-            core->add_volume(id, s->name(), size, static_cast<std::uint32_t>(least), named.plans.at(plan), hosts);
-    }
-    if (named.volumes.empty()) file.fault(0, "a section [volume NAME] is missing");
+        named.plans[name] = id;
+        if (core) core->plan_told(id, weight, usual, reserve, price, rate, burst);
+    });
+    std::map<std::string, std::uint32_t> hosts;
+    for (auto *s : file.all("volume"))
+        hosts[s->name()] = static_cast<std::uint32_t>(s->count("hosts", 1, 100000, 1));
+    settings::read_volumes(file, named.plans,
+                           [&](VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least,
+                               const std::string &plan, int) {
+                               named.volumes.insert(name);
+                               if (core) core->add_volume(id, name, size, least, named.plans.at(plan), hosts[name]);
+                           });
 }
 
 void read_workloads(settings::File &file, Core *core, Named &named) {
@@ -83,7 +61,7 @@
             s->fault("key_rest", "expected at least how long a shot may still run, " +
                                      std::to_string(longest / ms) + "ms (window, or client_timeout without one)");
         if (!writes && rest > 0) s->fault("key_rest", "only writes and zeroes go by turns");
-        if (!volume.empty() && !named.volumes.contains(volume))
+        if (!volume.empty() && !named.by_planner && !named.volumes.contains(volume))
             s->fault("volume", "no section [volume " + volume + "]");
         all_of[command] |= volume.empty() && !s->has("up_to");
         if (!core) continue;
@@ -91,8 +69,7 @@
         core->scheduler().set_repeat(id, repeat, Group::shard, window);
         if (writes) core->scheduler().set_turns(id, rest);
         core->add_workload(id, static_cast<Command>(command), static_cast<std::uint32_t>(up_to),
-                           volume.empty() ? std::optional<VolumeId>{} : named.volumes.at(volume), timeout,
-                           repeat == Repeat::numbered ? window : 0);
+                           volume, timeout, repeat == Repeat::numbered ? window : 0);
     }
     static constexpr const char *commands[] = {"read", "write", "zero", "flush", "status"};
     for (int i = 0; i < 5; ++i)
@@ -111,8 +88,18 @@
     auto edges = s.count("edges", 1, 1 << 20, 1);
     if (id >= edges) s.fault("id", "expected below edges, " + std::to_string(edges) + ": they are counted from 0");
     tell(id, static_cast<std::uint32_t>(edges), static_cast<std::uint32_t>(s.count("zone", 0, 255, 0)),
-         s.text("listen", "127.0.0.1:10809"), s.text("nodes"),
+         s.text("listen", "127.0.0.1:10809"), s.has("planner") ? s.text("nodes", "") : s.text("nodes"),
          s.count("seed", 0, std::numeric_limits<std::int64_t>::max(), 1));
+    if (s.has("planner") && s.has("nodes")) s.fault("nodes", "goes with no planner: nodes are told by it");
+}
+
+void read_planner(settings::File &file, const std::function<void(std::string, std::string, Time, Time)> &tell) {
+    auto &s = file.one("edge", true);
+    auto planner = s.text("planner", ""), plan = s.text("plan_file", "");
+    Time renew = s.time("renew_every", sec), trust = s.time("trust", 24 * 3600 * sec);
+    if (renew <= 0) s.fault("renew_every", "expected above 0");
+    if (planner.empty() && s.has("plan_file")) s.fault("plan_file", "goes with a planner");
+    tell(planner, plan, renew, trust);
 }
 
 void read_layout(settings::File &file,
@@ -148,8 +135,9 @@
            spare = units.number("spare_worth", 0, 1, 0.08);
     if (to) to->set_units(mean, largest, share, spare);
     Named named;
-    read_plans(file, core, named);
-    read_volumes(file, core, named);
+    // With a planner these come from it, and sections here would only contradict it.
+    named.by_planner = edge.has("planner");
+    if (!named.by_planner) read_fleet(file, core, named);
     read_workloads(file, core, named);
     auto &shots = file.one("shots", false);
     auto most = shots.count("most", 1, 16, 3);
@@ -187,6 +175,7 @@
 
 void check(settings::File &file) {
     read_identity(file, [](auto...) {});
+    read_planner(file, [](auto...) {});
     read_layout(file, [](auto...) {});
     read_service(file, nullptr);
 }
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -16,6 +16,9 @@
 void read_identity(settings::File &file,
                    const std::function<void(std::uint64_t id, std::uint32_t edges, std::uint32_t zone,
                                             std::string listen, std::string nodes, std::uint64_t seed)> &tell);
+// Without a planner its address is empty. `plan_file`: where the last plan is kept, empty for nowhere.
+void read_planner(settings::File &file, const std::function<void(std::string planner, std::string plan_file,
+                                                                 Time renew_every, Time trust)> &tell);
 void read_layout(settings::File &file,
                  const std::function<void(std::uint64_t extent, std::uint64_t span, std::uint64_t unit,
                                           std::vector<ShardId> shards)> &tell);
--- /dev/null
+++ b/src/facts/table.hpp
@@ -0,0 +1,127 @@
+// What is known of the fleet: one value with a version, and an edge's copy of it, which takes news whole or not at
+// all. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/ids.hpp"
+#include "core/node.hpp"
+#include "core/time.hpp"
+
+namespace knotvane::facts {
+
+using EdgeId = Id<struct EdgeKind, std::uint64_t>;
+// Counts a planner's lives; a later one outranks all before it.
+using Term = Id<struct TermKind, std::uint64_t>;
+using Version = Id<struct VersionKind, std::uint64_t>;
+
+// Limits are parted in millionths, whole numbers, so that what is handed out adds up without rounding.
+inline constexpr std::uint32_t whole_limit = 1'000'000;
+
+struct Node {
+    std::string address;
+    ShardId shard;
+    ZoneId zone;
+    NodeState state = NodeState::gone;
+    Time started = 0; // by the planner's clock
+    std::uint64_t life = 0; // of its process
+    bool operator==(const Node &) const = default;
+};
+struct Plan {
+    std::string name;
+    double weight = 1, usual = 0, reserve = 0, price = 1, rate = 0, burst = 0;
+    bool operator==(const Plan &) const = default;
+};
+struct Volume {
+    std::string name;
+    std::uint64_t size = 0;
+    std::uint32_t least = 512; // bytes that requests are aligned to
+    PlanId plan;
+    bool operator==(const Volume &) const = default;
+};
+// One edge's part of a volume's limit, and how many edges serve the volume.
+struct Part {
+    std::uint32_t millionths = 0, hosts = 0;
+    bool operator==(const Part &) const = default;
+};
+
+// As one edge sees it.
+struct Table {
+    std::map<NodeId, Node> nodes;
+    std::map<PlanId, Plan> plans;
+    std::map<VolumeId, Volume> volumes;
+    std::map<std::string, VolumeId, std::less<>> names; // of volumes
+    std::map<VolumeId, Part> parts;
+
+    void put(NodeId id, Node n) { nodes[id] = std::move(n); }
+    void put(PlanId id, Plan p) { plans[id] = std::move(p); }
+    void put(VolumeId id, Volume v);
+    void put(VolumeId id, Part p) { parts[id] = p; }
+    void drop(NodeId id) { nodes.erase(id); }
+    void drop(PlanId id) { plans.erase(id); }
+    void drop_volume(VolumeId id);
+    void drop_part(VolumeId id) { parts.erase(id); }
+};
+
+// How news was taken: `old` and `alien` change nothing; after a `gap` or `broken` the whole has to be asked for.
+// Alien is news of a planner that is not the one followed: an older life, or a second one under the same term.
+enum class Taken { whole, changes, old, alien, gap, broken };
+
+class Copy {
+  public:
+    // News of a planner's life: `instance` tells two by mistake under one term apart. `from`: the version that
+    // these are changes to; 0 where they are the whole. `lineage`: of the planner's store; versions of another
+    // can't be compared.
+    void begins(Term term, std::uint64_t instance, std::uint64_t lineage, Version version, Version from);
+    template <class IdOf, class Fact> void put(IdOf id, Fact fact) {
+        if (!open_) return;
+        ++told_;
+        if (whole_)
+            fresh_.put(id, std::move(fact));
+        else
+            changes_.push_back([id, f = std::move(fact)](Table &t) { t.put(id, f); });
+    }
+    void drop(NodeId id) { change([id](Table &t) { t.drop(id); }); }
+    void drop(PlanId id) { change([id](Table &t) { t.drop(id); }); }
+    void drop_volume(VolumeId id) { change([id](Table &t) { t.drop_volume(id); }); }
+    void drop_part(VolumeId id) { change([id](Table &t) { t.drop_part(id); }); }
+    // The news is complete: `count` entries were told. A whole list is taken in the time of a few changes,
+    // however long it is.
+    Taken ends(Version version, std::uint64_t count);
+
+    const Table &table() const { return now_; }
+    Term term() const { return term_; }
+    std::uint64_t instance() const { return instance_; }
+    std::uint64_t lineage() const { return lineage_; }
+    Version version() const { return version_; }
+    // The nodes have changed with what was taken last, or the plans.
+    bool nodes_changed() const { return nodes_changed_; }
+    bool plans_changed() const { return plans_changed_; }
+    // Takes down a piece of what was replaced; false once nothing is left.
+    bool clear_away();
+
+  private:
+    using Change = std::function<void(Table &)>;
+    void change(Change c) {
+        if (!open_) return;
+        ++told_;
+        changes_.push_back(std::move(c));
+    }
+    Table now_, fresh_;
+    std::vector<Table> past_;
+    std::vector<Change> changes_;
+    Term term_, next_term_;
+    Version version_, next_version_, from_;
+    std::uint64_t instance_ = 0, next_instance_ = 0, lineage_ = 0, next_lineage_ = 0, told_ = 0;
+    bool open_ = false, whole_ = false, nodes_changed_ = false, plans_changed_ = false;
+};
+
+// The millionths of a part that may be used by how long ago the right to it ran out: all before that, a quarter
+// for `fade`, then none. The same at the edge, which uses it, and at the planner, which parts out the rest.
+std::uint32_t usable(std::uint32_t millionths, Time past_lease, Time fade);
+
+} // namespace knotvane::facts
--- /dev/null
+++ b/src/node/registration.cpp
@@ -0,0 +1,65 @@
+#include "node/registration.hpp"
+
+#include <limits>
+#include <utility>
+
+namespace knotvane::node {
+namespace {
+// Nodes are fewer than edges and a hall of them may start together; the planner is given a quarter of a second.
+constexpr Time first_wait = 250 * ms, longest_wait = 2 * sec, dial_time = 2 * sec;
+} // namespace
+
+Registration::Registration(Line line, NodeId node, ShardId shard, ZoneId zone, std::string address,
+                           std::uint64_t seed, Time every)
+    : line_(std::move(line)), node_(node), shard_(shard), zone_(zone), address_(std::move(address)),
+      redial_(first_wait, longest_wait, seed), every_(every) {}
+
+void Registration::start(Time now, std::uint64_t life, Time started) {
+    life_ = life, started_ = started, running_ = true;
+    redial_.at_once(now);
+}
+void Registration::stop(Time now) {
+    running_ = false;
+    if (std::exchange(up_, false) || redial_.trying()) line_.hang_up();
+    redial_.lost(now);
+}
+void Registration::up(Time now) {
+    up_ = true, reader_ = {}, fault_.clear();
+    redial_.up();
+    line_.send(facts::node_hello(node_, shard_, zone_, address_, life_, now - started_));
+    renew_at_ = now + every_;
+}
+void Registration::down(Time now) {
+    up_ = false;
+    redial_.lost(now);
+}
+void Registration::bytes(Time now, std::string_view in) {
+    auto fault = reader_.bytes(in, *this);
+    if (fault.empty()) fault = fault_;
+    if (fault.empty()) return;
+    line_.say("planner: connection closed: " + fault);
+    line_.hang_up();
+    down(now);
+}
+void Registration::node_told(NodeState state) {
+    if (std::exchange(told_, state) != state)
+        line_.say(std::string("the planner has this node as ") +
+                  (state == NodeState::ready ? "ready" : state == NodeState::draining ? "draining" : "gone"));
+}
+Time Registration::next_due() const {
+    if (!running_) return std::numeric_limits<Time>::max();
+    return up_ ? renew_at_ : redial_.due();
+}
+void Registration::tick(Time now) {
+    if (!running_ || now < next_due()) return;
+    if (up_) {
+        line_.send(facts::node_renew());
+        renew_at_ = now + every_;
+        return;
+    }
+    if (redial_.trying()) line_.hang_up();
+    redial_.trying(now, dial_time);
+    line_.dial();
+}
+
+} // namespace knotvane::node
--- /dev/null
+++ b/src/node/registration.hpp
@@ -0,0 +1,50 @@
+// A node's word with the planner, without I/O: it says who it is and that it is there, again and again.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core/redial.hpp"
+#include "facts/messages.hpp"
+
+namespace knotvane::node {
+
+class Registration final : facts::Heard {
+  public:
+    struct Line {
+        std::function<void()> dial, hang_up;
+        std::function<void(std::string)> send, say;
+    };
+    // `every`: between two signs of life.
+    Registration(Line line, NodeId node, ShardId shard, ZoneId zone, std::string address, std::uint64_t seed,
+                 Time every);
+    // The node's process began, under a life of its own.
+    void start(Time now, std::uint64_t life, Time started);
+    // It is going down: nobody is told, the connection ends.
+    void stop(Time now);
+    void up(Time now);
+    void down(Time now);
+    void bytes(Time now, std::string_view in);
+    Time next_due() const;
+    void tick(Time now);
+    NodeState told() const { return told_; }
+
+  private:
+    void node_told(NodeState state) override;
+    void unexpected(const char *what) override { fault_ = what; }
+
+    Line line_;
+    NodeId node_;
+    ShardId shard_;
+    ZoneId zone_;
+    std::string address_, fault_;
+    Redial redial_;
+    Time every_, renew_at_ = 0, started_ = 0;
+    std::uint64_t life_ = 0;
+    bool up_ = false, running_ = false;
+    NodeState told_ = NodeState::gone;
+    facts::Reader reader_;
+};
+
+} // namespace knotvane::node
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -30,8 +30,12 @@
 }
 
 namespace {
+// Signs of life to the planner: four within the time after which it takes a node for silent.
+constexpr Time sign_every = 500 * ms;
+
 void read_identity(settings::File &file, std::uint64_t &id, std::uint64_t &shard, std::string &listen,
-                   std::string &store, bool &sync, std::uint64_t &seed, Time &age) {
+                   std::string &store, bool &sync, std::uint64_t &seed, Time &age, std::string &planner,
+                   std::uint64_t &zone) {
     auto &s = file.one("node", true);
     id = s.count("id", 1, std::numeric_limits<std::int64_t>::max());
     shard = s.count("shard", 0, 65535);
@@ -41,30 +45,43 @@
     seed = s.count("seed", 0, std::numeric_limits<std::int64_t>::max(), 1);
     // How long ago it is taken to have started: a node that is old is not cold.
     age = s.time("age", 0);
+    planner = s.text("planner", ""), zone = s.count("zone", 0, 255, 0);
 }
 } // namespace
 
 void check(settings::File &file) {
-    std::uint64_t id, shard, seed;
-    std::string listen, store;
+    std::uint64_t id, shard, seed, zone;
+    std::string listen, store, planner;
     bool sync;
     Time age;
-    read_identity(file, id, shard, listen, store, sync, seed, age);
+    read_identity(file, id, shard, listen, store, sync, seed, age, planner, zone);
     read_service(file, nullptr);
 }
 
 Server::Server(loop::Loop &loop, settings::File &file) : loop_(loop) {
-    std::uint64_t id, shard, seed;
-    std::string listen_on, store;
+    std::uint64_t id, shard, seed, zone;
+    std::string listen_on, store, planner;
     bool sync;
     Time age;
-    read_identity(file, id, shard, listen_on, store, sync, seed, age);
+    read_identity(file, id, shard, listen_on, store, sync, seed, age, planner, zone);
     id_ = NodeId{id}, shard_ = ShardId{static_cast<std::int32_t>(shard)}, address_ = listen_on;
     medium_ = file_medium(store, sync);
     store_ = std::make_unique<Store>(*medium_);
     disk_ = std::make_unique<Disk>(id_, shard_, *store_, *this, seed, loop::now() - age);
     read_service(file, disk_.get());
     listen(true);
+    if (!planner.empty()) {
+        planner_ = std::make_unique<loop::Dialled>(loop_, planner);
+        registration_ = std::make_unique<Registration>(
+            Registration::Line{[this] { planner_->dial(); }, [this] { planner_->hang_up(); },
+                               [this](std::string bytes) { planner_->send(std::move(bytes)); },
+                               [this](std::string text) { say(std::move(text)); }},
+            id_, shard_, ZoneId{static_cast<std::uint32_t>(zone)}, address_, seed + id, sign_every);
+        planner_->on_up = [this] { registration_->up(loop::now()); };
+        planner_->on_down = [this] { registration_->down(loop::now()); };
+        planner_->on_bytes = [this](std::string_view in) { registration_->bytes(loop::now(), in); };
+        registration_->start(loop::now(), static_cast<std::uint64_t>(disk_->started()), disk_->started());
+    }
     loop_.at_end([this] { return end_of_moment(); });
 }
 Server::~Server() {
@@ -75,9 +92,12 @@
 void Server::listen(bool open) {
     if (!open) {
         listener_.reset();
+        if (registration_) registration_->stop(loop::now());
         return;
     }
     if (listener_) return;
+    if (registration_)
+        registration_->start(loop::now(), static_cast<std::uint64_t>(disk_->started()), disk_->started());
     listener_ = std::make_unique<loop::Listener>(loop_, address_, [this](std::shared_ptr<loop::Socket> s) {
         ConnId conn{++next_conn_};
         conns_[conn] = s;
@@ -110,12 +130,16 @@
 
 Time Server::end_of_moment() {
     disk_->tick(loop::now());
+    if (registration_) {
+        registration_->tick(loop::now());
+        planner_->flush();
+    }
     for (auto conn : std::exchange(out_, {}))
         if (auto it = conns_.find(conn); it != conns_.end()) {
             auto s = it->second;
             s->flush();
         }
-    return disk_->next_due();
+    return registration_ ? std::min(disk_->next_due(), registration_->next_due()) : disk_->next_due();
 }
 
 } // namespace knotvane::node
--- a/src/node/server.hpp
+++ b/src/node/server.hpp
@@ -7,7 +7,9 @@
 #include <string>
 
 #include "loop/loop.hpp"
+#include "loop/dialled.hpp"
 #include "node/disk.hpp"
+#include "node/registration.hpp"
 #include "settings/ini.hpp"
 
 namespace knotvane::node {
@@ -44,6 +46,8 @@
     std::unique_ptr<Store> store_;
     std::unique_ptr<Disk> disk_;
     std::unique_ptr<loop::Listener> listener_;
+    std::unique_ptr<loop::Dialled> planner_;
+    std::unique_ptr<Registration> registration_; // with a planner
     std::uint64_t next_conn_ = 0;
     std::map<ConnId, std::shared_ptr<loop::Socket>> conns_;
     std::set<ConnId> out_;
--- /dev/null
+++ b/src/planner/core.cpp
@@ -0,0 +1,628 @@
+#include "planner/core.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace knotvane::planner {
+namespace {
+
+constexpr Time never = std::numeric_limits<Time>::max();
+// News that is not answered in this time is taken for lost and told again. Well above a round trip between halls.
+constexpr Time answer_time = sec;
+// News past this counts as long, and so many go out at once: with 280 edges asking for all of 10,000 volumes
+// together, the planner holds some megabytes, not hundreds.
+constexpr std::size_t long_news = 64 << 10, most_long = 8;
+// How far back a node's outs count for how long it has to be steady.
+constexpr Time outs_memory = 60 * sec;
+// A commit that failed (a full disk) is tried again this much later.
+constexpr Time commit_again = 500 * ms;
+
+const char *name(NodeState s) {
+    static constexpr const char *names[] = {"draining", "gone", "ready"};
+    return names[static_cast<int>(s)];
+}
+std::string text(auto id) { return std::to_string(id.value); }
+
+} // namespace
+
+// One connection. What it says it is decides what it may say.
+struct Core::Side final : facts::Heard {
+    enum class Role { unknown, edge, node, visitor };
+    Core &core;
+    SideId id;
+    facts::Reader reader;
+    Role role = Role::unknown;
+    EdgeId edge;
+    NodeId node;
+    std::string listen, fault;
+    Term edge_term;
+    std::uint64_t edge_lineage = 0;
+    Version acked, told;
+    Time told_at = 0, heard = 0;
+    bool in_flight = false, is_long = false, closed = false;
+    std::optional<NodeState> state_told;
+
+    Side(Core &c, SideId i) : core(c), id(i) {}
+
+    bool expect(Role wanted, const char *what) {
+        if (role == wanted) return true;
+        unexpected(what);
+        return false;
+    }
+    void edge_hello(EdgeId e, const std::string &at, Term term, std::uint64_t instance, std::uint64_t lineage,
+                    Version version, const std::vector<NodeId> &draining,
+                    const std::vector<VolumeId> &serving) override {
+        if (expect(Role::unknown, "a second hello"))
+            core.edge_hello(*this, e, at, term, instance, lineage, version, draining, serving);
+    }
+    void renew(Time at, Term term, Version version) override {
+        if (expect(Role::edge, "a renewal")) core.renew(*this, at, term, version);
+    }
+    void ask() override {
+        if (expect(Role::edge, "an ask for the whole")) acked = told = Version{0}, in_flight = false;
+    }
+    void serve(VolumeId volume, bool on) override {
+        if (expect(Role::edge, "a volume served")) core.parts_.serve(volume, edge, on);
+    }
+    void witness(NodeId n, bool reached) override {
+        if (expect(Role::edge, "a witness"))
+            if (auto it = core.presence_.find(n); it != core.presence_.end()) it->second.witness(edge, reached);
+    }
+    void superseded(Term term) override {
+        if (expect(Role::edge, "another planner's term"))
+            core.outranked(term, ~std::uint64_t{0}, "edge " + text(edge));
+    }
+    void node_hello(NodeId n, ShardId shard, ZoneId zone, const std::string &address, std::uint64_t life,
+                    Time age) override {
+        if (expect(Role::unknown, "a second hello")) core.node_hello(*this, n, shard, zone, address, life, age);
+    }
+    void node_renew() override {
+        if (expect(Role::node, "a node's renewal")) core.presence(node).renewed(core.now_);
+    }
+    void status_asked() override {
+        role = role == Role::unknown ? Role::visitor : role;
+        if (expect(Role::visitor, "an ask for status"))
+            core.shell_.send(id, facts::status(core.status_json(core.now_)));
+    }
+    void drain_asked(NodeId n, bool draining, std::uint8_t how) override {
+        role = role == Role::unknown ? Role::visitor : role;
+        if (expect(Role::visitor, "a drain")) core.drain_asked(*this, n, draining, how);
+    }
+    void unexpected(const char *what) override {
+        if (fault.empty()) fault = std::string(what) + " is not expected here";
+    }
+};
+
+Core::Core(Shell &shell, Keeper &keeper, Time lease, Time margin, Time fade, Time silent_for, Time out_after,
+           Time back_after, Time drain_time)
+    : shell_(shell), keeper_(keeper), silent_for_(silent_for), out_after_(out_after), back_after_(back_after),
+      drain_time_(drain_time), leases_(lease, margin, fade) {}
+Core::~Core() = default;
+
+// ---- Start.
+std::string Core::restore(Keeper::Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string_view body) {
+    struct Rows final : facts::Heard {
+        Core &core;
+        std::string fault;
+        explicit Rows(Core &c) : core(c) {}
+        void plan(PlanId id, facts::Plan p) override {
+            core.wanted_.plans[p.name] = p;
+            core.state_.put(id, p);
+        }
+        void volume(VolumeId id, facts::Volume v) override { core.state_.put(id, v); }
+        void node(NodeId id, facts::Node n) override { core.state_.put(id, n); }
+        void part(VolumeId, facts::Part) override {}
+        void unexpected(const char *what) override { fault = what; }
+    } rows(*this);
+    state_.restoring(stamp);
+    switch (row) {
+    case Keeper::Row::plan:
+    case Keeper::Row::volume:
+    case Keeper::Row::node: {
+        facts::Reader reader;
+        auto fault = reader.bytes(body, rows);
+        return fault.empty() ? rows.fault : fault;
+    }
+    case Keeper::Row::hold: {
+        // part, bound, since, serves, lapsed: see keep_changes.
+        std::uint64_t f[5];
+        std::size_t at = 0;
+        for (auto &v : f) {
+            auto end = body.find(' ', at);
+            try {
+                v = std::stoull(std::string(body.substr(at, end - at)));
+            } catch (const std::exception &) {
+                return "a part's row can't be read";
+            }
+            at = end == std::string_view::npos ? body.size() : end + 1;
+        }
+        if (f[0] > facts::whole_limit || f[1] > facts::whole_limit) return "a part's row is past the whole";
+        parts_.restore(VolumeId{b}, EdgeId{a}, static_cast<std::uint32_t>(f[0]), static_cast<std::uint32_t>(f[1]),
+                       Version{f[2]}, f[3] != 0, f[4] != 0);
+        return {};
+    }
+    case Keeper::Row::drained: drained_.insert(NodeId{a}); return {};
+    case Keeper::Row::wanted: {
+        facts::Reader reader;
+        struct Line final : facts::Heard {
+            Wanted::Node node;
+            void node_hello(NodeId, ShardId s, ZoneId z, const std::string &at, std::uint64_t draining,
+                            Time) override {
+                node = {s, z, draining != 0, at, 0};
+            }
+            void unexpected(const char *) override {}
+        } line;
+        if (auto fault = reader.bytes(body, line); !fault.empty()) return fault;
+        wanted_.nodes[NodeId{a}] = line.node;
+        return {};
+    }
+    }
+    return "a row of no known kind";
+}
+
+bool Core::start(Time now, Term term, std::uint64_t instance, std::uint64_t lineage, Version version,
+                 Version oldest, std::uint64_t settings, bool rebuilt) {
+    now_ = started_ = now;
+    term_ = term, instance_ = instance, lineage_ = lineage;
+    wanted_.version = settings;
+    // What edges were told before, they may still be about to go by: none has its right prolonged by this life
+    // before it goes by all that the last one decided.
+    least_all_ = version;
+    state_.restore(version, oldest);
+    for (auto &[id, v] : state_.table().volumes) {
+        wanted_.volumes[id] = {v, state_.table().plans.contains(v.plan) ? state_.table().plans.at(v.plan).name : "", 0};
+    }
+    for (auto &[id, n] : state_.table().nodes)
+        if (n.state != NodeState::gone) {
+            presence(id).assume(now, n.address, n.life, n.started);
+            if (n.state == NodeState::draining) draining_since_[id] = {version, now};
+        }
+    for (auto &[volume, holds] : parts_.all())
+        for (auto &[edge, hold] : holds) {
+            leases_.known(edge, now, parts_.is_lapsed(edge));
+            if (const facts::Part part{hold.part, 0}; hold.part > 0 || hold.serves) {
+                state_.restoring(hold.since);
+                state_.put_part(edge, volume, {part.millionths, parts_.hosts(volume)});
+            }
+        }
+    state_.restore(version, oldest);
+    if (rebuilt) {
+        // Any edge may go by the whole of any limit until what it was told must have run out.
+        parts_.unknown(facts::whole_limit);
+        unknown_until_ = now + leases_.lease() + leases_.lease() / 10 + sec;
+    }
+    started_up_ = keeper_.commit(term_, lineage_, state_.version(), state_.oldest_told(), wanted_.version);
+    return started_up_;
+}
+
+// ---- Settings.
+void Core::want(Time now, const Wanted &wanted, std::vector<std::pair<int, std::string>> &faults) {
+    now_ = now;
+    if (wanted.version <= wanted_.version && wanted_.version > 0) {
+        if (wanted.version < wanted_.version)
+            faults.emplace_back(0, "version " + std::to_string(wanted.version) + " is older than the one in use, " +
+                                       std::to_string(wanted_.version));
+        return;
+    }
+    for (auto &[id, n] : wanted_.nodes) {
+        if (wanted.nodes.contains(id)) {
+            if (wanted.nodes.at(id).shard != n.shard)
+                faults.emplace_back(wanted.nodes.at(id).line, "node " + text(id) + " holds shard " + text(n.shard) +
+                                                                  " and can't change to another");
+            continue;
+        }
+        auto it = state_.table().nodes.find(id);
+        if (it == state_.table().nodes.end() || it->second.state == NodeState::gone) continue;
+        auto since = draining_since_.find(id);
+        bool known = since != draining_since_.end() && now - since->second.second >= drain_time_;
+        if (known)
+            for (auto &[edge, side] : edges_)
+                known = known && (leases_.stage(edge) != Leases::Stage::held ||
+                                  sides_.at(side)->acked >= since->second.first);
+        if (!known)
+            faults.emplace_back(0, "node " + text(id) + " is in use and left out: drain it first, and remove it once " +
+                                       "every edge has known of the drain for " + std::to_string(drain_time_ / ms) + "ms");
+    }
+    for (auto &[id, v] : wanted_.volumes) {
+        auto it = wanted.volumes.find(id);
+        if (it == wanted.volumes.end()) {
+            if (parts_.hosts(id) > 0)
+                faults.emplace_back(0, "volume " + v.fact.name + " is left out and has clients at " +
+                                           std::to_string(parts_.hosts(id)) + " edges");
+        } else if (it->second.fact.size < v.fact.size) {
+            faults.emplace_back(it->second.line, "volume " + v.fact.name + " would shrink from " +
+                                                     std::to_string(v.fact.size) + " bytes");
+        }
+    }
+    if (!faults.empty()) return;
+    // Whole, from here on.
+    for (auto &[id, n] : wanted_.nodes)
+        if (!wanted.nodes.contains(id)) {
+            state_.drop(id);
+            presence_.erase(id), draining_since_.erase(id);
+            if (drained_.erase(id)) keeper_.drop(Keeper::Row::drained, id.value, 0);
+            keeper_.drop(Keeper::Row::wanted, id.value, 0);
+        }
+    std::map<std::string, PlanId> ids;
+    std::uint32_t next = 0;
+    for (auto &[id, p] : state_.table().plans) ids[p.name] = id, next = std::max(next, id.value + 1);
+    for (auto &[plan, p] : wanted.plans) {
+        auto [it, is_new] = ids.try_emplace(plan, PlanId{next});
+        next += is_new;
+        state_.put(it->second, p);
+    }
+    for (auto &[id, v] : wanted.volumes) {
+        auto fact = v.fact;
+        fact.plan = ids.at(v.plan);
+        state_.put(id, fact);
+    }
+    std::vector<VolumeId> left_out;
+    for (auto &[id, v] : state_.table().volumes)
+        if (!wanted.volumes.contains(id)) left_out.push_back(id);
+    for (auto id : left_out) state_.drop_volume(id);
+    for (auto &[plan, id] : ids)
+        if (!wanted.plans.contains(plan)) state_.drop(id);
+    wanted_ = wanted;
+    keep_wanted();
+    commit_due_ = true;
+    shell_.say("settings taken: version " + std::to_string(wanted.version) + ", " +
+               std::to_string(wanted.nodes.size()) + " nodes, " + std::to_string(wanted.volumes.size()) + " volumes");
+}
+void Core::keep_wanted() {
+    for (auto &[id, n] : wanted_.nodes)
+        keeper_.keep(Keeper::Row::wanted, id.value, 0, Version{1},
+                     facts::node_hello(id, n.shard, n.zone, n.address, n.draining, 0));
+}
+
+// ---- Connections.
+void Core::came(Time now, SideId side) {
+    now_ = now;
+    sides_[side] = std::make_unique<Side>(*this, side);
+    sides_[side]->heard = now;
+}
+void Core::bytes(Time now, SideId id, std::string_view in) {
+    now_ = now;
+    auto it = sides_.find(id);
+    if (it == sides_.end() || it->second->closed) return;
+    auto &side = *it->second;
+    side.heard = now;
+    auto fault = side.reader.bytes(in, side);
+    if (fault.empty()) fault = side.fault;
+    if (!fault.empty() && !side.closed) close(side, fault);
+}
+void Core::gone(Time now, SideId id) {
+    now_ = now;
+    auto it = sides_.find(id);
+    if (it == sides_.end()) return;
+    auto &side = *it->second;
+    if (side.role == Side::Role::edge && edges_[side.edge] == id) {
+        edges_.erase(side.edge);
+        for (auto &[n, p] : presence_) p.no_witness(side.edge);
+    }
+    if (side.role == Side::Role::node && nodes_[side.node] == id) nodes_.erase(side.node);
+    sides_.erase(it);
+}
+void Core::close(Side &side, const std::string &why) {
+    side.closed = true;
+    static constexpr const char *roles[] = {"a peer", "edge ", "node ", "a visitor"};
+    auto who = std::string(roles[static_cast<int>(side.role)]);
+    if (side.role == Side::Role::edge) who += text(side.edge);
+    if (side.role == Side::Role::node) who += text(side.node);
+    shell_.say(who + ": connection closed: " + why);
+    shell_.close(side.id);
+}
+
+void Core::edge_hello(Side &side, EdgeId edge, const std::string &listen, Term term, std::uint64_t instance,
+                      std::uint64_t lineage, Version version, const std::vector<NodeId> &draining,
+                      const std::vector<VolumeId> &serving) {
+    if ((term > term_ || (term == term_ && instance != instance_)) &&
+        !outranked(term, instance, "edge " + text(edge)))
+        return;
+    if (lineage == lineage_ && version > state_.version())
+        return retire("edge " + text(edge) + " goes by version " + text(version) + " of this store, which stands at " +
+                      text(state_.version()) + ": the store is an old copy; start with the right one, or rebuild");
+    if (auto old = edges_.find(edge); old != edges_.end() && old->second != side.id) {
+        auto was = old->second;
+        side.role = Side::Role::unknown;
+        close(*sides_.at(was), "another connection says it is this edge");
+        gone(now_, was);
+    }
+    side.role = Side::Role::edge, side.edge = edge, side.listen = listen;
+    side.edge_term = term, side.edge_lineage = lineage;
+    side.acked = side.told = lineage == lineage_ ? version : Version{0};
+    edges_[edge] = side.id;
+    if (side.acked > Version{0}) parts_.acked(edge, side.acked);
+    std::set<VolumeId> now_serving(serving.begin(), serving.end());
+    for (auto v : parts_.served_by(edge))
+        if (!now_serving.contains(v)) parts_.serve(v, edge, false);
+    for (auto v : now_serving) parts_.serve(v, edge, true);
+    if (unknown_until_ > 0)
+        // The store that knew of these drains is lost; the edges still do.
+        for (auto node : draining)
+            if (wanted_.nodes.contains(node) && drained_.insert(node).second)
+                keeper_.keep(Keeper::Row::drained, node.value, 0, state_.next(), {}), commit_due_ = true;
+}
+
+void Core::renew(Side &side, Time at, Term term, Version version) {
+    if (term > term_) return void(outranked(term, ~std::uint64_t{0}, "edge " + text(side.edge)));
+    side.edge_term = term;
+    // Versions of another store say nothing here, until the edge goes by one of ours.
+    if (term == term_) side.edge_lineage = lineage_;
+    if (side.edge_lineage != lineage_) return;
+    if (version > side.acked) side.acked = version;
+    if (term == term_ && side.acked >= side.told) side.in_flight = false;
+    if (side.told < side.acked) side.told = side.acked;
+    parts_.acked(side.edge, side.acked);
+    // Its right goes on only once it goes by what lowered its parts while it was away.
+    if (term != term_ || version < least(side.edge) || retired_) return;
+    bool away = leases_.stage(side.edge) != Leases::Stage::held;
+    leases_.renewed(side.edge, now_);
+    if (away) parts_.back(side.edge);
+    shell_.send(side.id, facts::renewed(at, term_, leases_.lease(), leases_.fade(), least(side.edge)));
+}
+Version Core::least(EdgeId edge) const {
+    auto it = least_.find(edge);
+    return it == least_.end() ? least_all_ : std::max(it->second, least_all_);
+}
+
+void Core::node_hello(Side &side, NodeId node, ShardId shard, ZoneId zone, const std::string &address,
+                      std::uint64_t life, Time age) {
+    auto it = wanted_.nodes.find(node);
+    auto refuse = [&](const std::string &why) {
+        if (said_.insert("node " + text(node) + why).second)
+            shell_.say("node " + text(node) + " at " + address + " is not taken: " + why);
+        side.closed = true;
+        shell_.close(side.id);
+    };
+    if (it == wanted_.nodes.end()) return refuse("the settings don't list it");
+    if (it->second.shard != shard || it->second.zone != zone)
+        return refuse("it says shard " + text(shard) + ", zone " + text(zone) + "; the settings shard " +
+                      text(it->second.shard) + ", zone " + text(it->second.zone));
+    if (auto old = nodes_.find(node); old != nodes_.end() && old->second != side.id) {
+        auto was = old->second;
+        close(*sides_.at(was), "another connection says it is this node");
+        gone(now_, was);
+    }
+    side.role = Side::Role::node, side.node = node;
+    nodes_[node] = side.id;
+    presence(node).heard(now_, address, life, now_ - age);
+}
+
+Presence &Core::presence(NodeId node) {
+    return presence_.try_emplace(node, silent_for_, out_after_, back_after_, outs_memory).first->second;
+}
+
+// ---- Other planners.
+void Core::retire(const std::string &why) {
+    if (std::exchange(retired_, true)) return;
+    shell_.say("this planner (term " + text(term_) + ") stops planning: " + why);
+    shell_.retired();
+}
+bool Core::outranked(Term term, std::uint64_t instance, const std::string &who) {
+    if (unknown_until_ > 0 && term >= term_) {
+        // A store made anew knows nothing of the terms before: it goes above each that it meets.
+        (void)instance;
+        term_ = Term{term.value + 1};
+        commit_due_ = true;
+        for (auto &[id, side] : sides_) side->in_flight = false;
+        shell_.say(who + " follows term " + text(term) + ": going on as term " + text(term_));
+        return true;
+    }
+    retire(who + " follows another planner with term " + text(term));
+    return false;
+}
+
+// ---- The operator's word.
+std::string Core::effect(NodeId node, bool draining, bool &allowed, bool &serves) const {
+    allowed = serves = false;
+    auto w = wanted_.nodes.find(node);
+    if (w == wanted_.nodes.end()) return "node " + text(node) + " is not in the settings; nothing to do";
+    auto it = state_.table().nodes.find(node);
+    auto is = it == state_.table().nodes.end() ? std::string("not registered") : name(it->second.state);
+    auto what = "node " + text(node) + " (shard " + text(w->second.shard) + ", " + is + "): ";
+    std::string others;
+    std::size_t count = 0;
+    for (auto &[id, n] : state_.table().nodes)
+        if (id != node && n.shard == w->second.shard && n.state == NodeState::ready)
+            others += (others.empty() ? "" : ", ") + text(id), ++count;
+    if (draining) {
+        allowed = true, serves = count > 0;
+        if (drained_.contains(node) || w->second.draining)
+            return what + "drains already" + (w->second.draining ? " by the settings" : "");
+        return what + "would get no new work from any of " + std::to_string(edges_.size()) + " edges; " +
+               (serves ? "its shard goes on at node " + others
+                       : "no other ready node holds its shard, whose requests would wait and be denied until one does");
+    }
+    if (w->second.draining) return what + "drains by the settings: change its state there";
+    allowed = serves = true;
+    return drained_.contains(node) ? what + "would get new work again from " + std::to_string(edges_.size()) + " edges"
+                                   : what + "does not drain by an operator's word; nothing to do";
+}
+void Core::drain_asked(Side &side, NodeId node, bool draining, std::uint8_t how) {
+    bool allowed = false, serves = false;
+    auto text_of = effect(node, draining, allowed, serves);
+    bool act = allowed && (how == 2 || (how == 1 && serves));
+    if (!act) return shell_.send(side.id, facts::effect(allowed && serves, false, text_of));
+    if (draining && drained_.insert(node).second) keeper_.keep(Keeper::Row::drained, node.value, 0, state_.next(), {});
+    if (!draining && drained_.erase(node)) keeper_.drop(Keeper::Row::drained, node.value, 0);
+    shell_.say("operator: " + std::string(draining ? "drain" : "undrain") + " node " + text(node));
+    commit_due_ = true;
+    // Said to be done once it is durable.
+    after_commit_.emplace_back(side.id, facts::effect(true, true, text_of));
+}
+
+// ---- The end of a moment.
+void Core::decide_nodes() {
+    for (auto &[id, w] : wanted_.nodes) {
+        auto &p = presence(id);
+        if (!w.address.empty()) p.heard(now_, w.address, 1, 0);
+        bool in = p.in(now_, leases_.held());
+        if (!p.ever_heard()) continue;
+        if (p.to_ask(now_))
+            for (auto &[edge, side] : edges_) shell_.send(side, facts::ask_witness(id));
+        auto state = !in ? NodeState::gone
+                         : (w.draining || drained_.contains(id)) ? NodeState::draining : NodeState::ready;
+        auto was = state_.table().nodes.find(id);
+        if (was == state_.table().nodes.end() || was->second.state != state)
+            shell_.say("node " + text(id) + " is " + name(state));
+        state_.put(id, facts::Node{p.address(), w.shard, w.zone, state, p.started(), p.life()});
+        if (state == NodeState::draining)
+            draining_since_.try_emplace(id, state_.next(), now_);
+        else
+            draining_since_.erase(id);
+    }
+}
+
+void Core::keep_changes() {
+    auto version = state_.next();
+    parts_.part_out(
+        version,
+        [&](VolumeId volume, EdgeId edge, const facts::Part &part) { state_.put_part(edge, volume, part); },
+        [&](VolumeId volume, EdgeId edge, const Parts::Hold *h) {
+            if (!h) return keeper_.drop(Keeper::Row::hold, edge.value, volume.value);
+            keeper_.keep(Keeper::Row::hold, edge.value, volume.value, version,
+                         std::to_string(h->part) + " " + std::to_string(h->bound) + " " + text(h->since) + " " +
+                             std::to_string(h->serves) + " " + std::to_string(parts_.is_lapsed(edge)));
+        });
+    using Kind = State::Kind;
+    for (auto &key : state_.changed()) {
+        if (key.kind == Kind::part) continue; // kept as holds
+        auto row = key.kind == Kind::plan ? Keeper::Row::plan
+                                          : key.kind == Kind::volume ? Keeper::Row::volume : Keeper::Row::node;
+        if (!state_.has(key)) {
+            keeper_.drop(row, key.id, 0);
+            continue;
+        }
+        auto &t = state_.table();
+        PlanId plan{static_cast<std::uint32_t>(key.id)};
+        keeper_.keep(row, key.id, 0, version,
+                     key.kind == Kind::plan     ? facts::put(plan, t.plans.at(plan))
+                     : key.kind == Kind::volume ? facts::put(VolumeId{key.id}, t.volumes.at(VolumeId{key.id}))
+                                                : facts::put(NodeId{key.id}, t.nodes.at(NodeId{key.id})));
+    }
+    if (state_.close()) commit_due_ = true;
+}
+
+void Core::tell_sides() {
+    std::size_t longs = 0;
+    for (auto &[id, side] : sides_) longs += side->in_flight && side->is_long && now_ - side->told_at < answer_time;
+    for (auto &[id, s] : sides_) {
+        auto &side = *s;
+        if (side.closed) continue;
+        if (side.role == Side::Role::node) {
+            auto it = state_.table().nodes.find(side.node);
+            if (it != state_.table().nodes.end() && side.state_told != it->second.state) {
+                side.state_told = it->second.state;
+                shell_.send(id, facts::tell_node(it->second.state));
+            }
+        }
+        if (side.role != Side::Role::edge) continue;
+        // One piece of news at a time: what changes while an edge is slow comes together in the next.
+        if (side.in_flight && now_ - side.told_at < answer_time) continue;
+        bool behind = side.acked < state_.version() || side.edge_term != term_ || side.edge_lineage != lineage_;
+        if (!behind) continue;
+        Version from = side.edge_lineage == lineage_ ? side.acked : Version{0};
+        std::string facts_out;
+        auto count = state_.news(side.edge, from, facts_out);
+        side.is_long = facts_out.size() > long_news;
+        if (side.is_long && longs >= most_long) continue;
+        longs += side.is_long;
+        side.in_flight = true, side.told = state_.version(), side.told_at = now_;
+        shell_.send(id, facts::begins(term_, instance_, lineage_, state_.version(), from, now_) + facts_out +
+                            facts::ends(state_.version(), count));
+    }
+}
+
+void Core::settle(Time now) {
+    now_ = now;
+    if (retired_ || !started_up_) return;
+    leases_.pass(now, [&](EdgeId edge, Leases::Stage stage) {
+        if (stage == Leases::Stage::lapsed) {
+            shell_.say("edge " + text(edge) + " has not renewed: its parts fall to a piece");
+            // Not before it goes by all that it was told until now, too: what was lowered and never reached it
+            // counts for a piece from here on, and must not be whole again.
+            least_[edge] = parts_.lapsed(edge) ? state_.next() : state_.version();
+        } else {
+            shell_.say("edge " + text(edge) + " is forgotten: its parts go to others");
+            parts_.forgotten(edge);
+            least_[edge] = state_.next();
+        }
+    });
+    if (unknown_until_ > 0 && now > unknown_until_ && !std::exchange(unknown_faded_, true))
+        parts_.unknown(facts::usable(facts::whole_limit, 1, 1));
+    if (unknown_until_ > 0 && now > unknown_until_ + leases_.fade()) parts_.unknown(0), unknown_until_ = 0;
+    decide_nodes();
+    keep_changes();
+    if (commit_due_) {
+        // Nothing is told that is not durable: a planner that comes back from its store must know all that it said.
+        if (!keeper_.commit(term_, lineage_, state_.version(), state_.oldest_told(), wanted_.version)) return;
+        commit_due_ = false;
+    }
+    for (auto &[side, bytes] : std::exchange(after_commit_, {}))
+        if (sides_.contains(side)) shell_.send(side, std::move(bytes));
+    tell_sides();
+}
+
+Time Core::next_due() const {
+    if (retired_) return never;
+    Time due = leases_.next_due();
+    for (auto &[id, p] : presence_) due = std::min(due, p.next_due());
+    if (unknown_until_ > 0) due = std::min(due, unknown_until_ + (unknown_faded_ ? leases_.fade() : 0) + 1);
+    if (commit_due_) due = std::min(due, now_ + commit_again);
+    for (auto &[id, side] : sides_)
+        if (side->role == Side::Role::edge && side->in_flight) due = std::min(due, side->told_at + answer_time);
+    return due;
+}
+
+std::string Core::status_json(Time now) const {
+    using nlohmann::json;
+    json out{{"term", term_.value},
+             {"version", state_.version().value},
+             {"lineage", lineage_},
+             {"settings", wanted_.version},
+             {"up_ms", (now - started_) / ms},
+             {"volumes", state_.table().volumes.size()},
+             {"retired", retired_}};
+    out["nodes"] = json::array();
+    for (auto &[id, w] : wanted_.nodes) {
+        auto it = state_.table().nodes.find(id);
+        auto p = presence_.find(id);
+        bool known = it != state_.table().nodes.end();
+        out["nodes"].push_back(
+            {{"id", id.value},
+             {"shard", w.shard.value},
+             {"zone", w.zone.value},
+             {"state", known ? name(it->second.state) : "never heard"},
+             {"word", drained_.contains(id) ? "drain" : w.draining ? "drain (settings)" : "ready"},
+             {"address", known ? it->second.address : w.address},
+             {"age_ms", known && it->second.started > 0 ? (now - it->second.started) / ms : 0},
+             {"silent_ms", p != presence_.end() && p->second.ever_heard() ? p->second.silent(now) / ms : -1},
+             {"out_of_reach_for", p != presence_.end() ? p->second.against() : 0}});
+    }
+    out["edges"] = json::array();
+    std::set<EdgeId> all;
+    for (auto &[e, s] : edges_) all.insert(e);
+    for (auto &[v, holds] : parts_.all())
+        for (auto &[e, h] : holds) all.insert(e);
+    for (auto e : all) {
+        static constexpr const char *stages[] = {"held", "lapsed", "none"};
+        json x{{"id", e.value}, {"lease", stages[static_cast<int>(leases_.stage(e))]}};
+        x["serving"] = parts_.served_by(e).size();
+        if (auto it = edges_.find(e); it != edges_.end()) {
+            auto &s = *sides_.at(it->second);
+            x["listen"] = s.listen, x["version"] = s.acked.value, x["term"] = s.edge_term.value;
+            x["behind"] = state_.version().value - std::min(s.acked, state_.version()).value;
+            x["silent_ms"] = (now - s.heard) / ms, x["connected"] = true;
+        } else {
+            x["connected"] = false;
+        }
+        out["edges"].push_back(std::move(x));
+    }
+    return out.dump();
+}
+
+} // namespace knotvane::planner
--- /dev/null
+++ b/src/planner/core.hpp
@@ -0,0 +1,145 @@
+// The planner without I/O: what edges, nodes, operators and settings files say in, versions of the fleet's facts
+// out. It decides who is a member, what drains, and which part of each limit an edge has. Nothing is handed out
+// before the keeper has it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "facts/messages.hpp"
+#include "planner/members.hpp"
+#include "planner/parts.hpp"
+#include "planner/state.hpp"
+
+namespace knotvane::planner {
+
+using facts::Term;
+// A connection to the planner.
+using SideId = Id<struct SideKind, std::uint64_t>;
+
+class Shell {
+  public:
+    virtual ~Shell() = default;
+    virtual void send(SideId side, std::string bytes) = 0;
+    virtual void close(SideId side) = 0;
+    // For the log: what changed in the fleet, and what was refused.
+    virtual void say(std::string text) = 0;
+    // Another planner is followed: this one has nothing more to do.
+    virtual void retired() = 0;
+};
+
+// What outlives the planner's process. Rows gather until commit, which makes all of them durable or none.
+class Keeper {
+  public:
+    enum class Row : std::uint8_t { plan, volume, node, hold, drained, wanted };
+    virtual ~Keeper() = default;
+    virtual void keep(Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string body) = 0;
+    virtual void drop(Row row, std::uint64_t a, std::uint64_t b) = 0;
+    // False where it could not: rows stay gathered for another try.
+    virtual bool commit(Term term, std::uint64_t lineage, Version version, Version oldest,
+                        std::uint64_t settings) = 0;
+};
+
+// What the settings files want, checked in itself (planner/files.hpp). Lines are for refusals.
+struct Wanted {
+    struct Node {
+        ShardId shard;
+        ZoneId zone;
+        bool draining = false;
+        std::string address; // of one that does not register; else empty
+        int line = 0;
+    };
+    struct Volume {
+        facts::Volume fact; // its plan is found by name
+        std::string plan;
+        int line = 0;
+    };
+    std::uint64_t version = 0;
+    std::map<NodeId, Node> nodes;
+    std::map<std::string, facts::Plan> plans;
+    std::map<VolumeId, Volume> volumes;
+};
+
+class Core {
+  public:
+    // Times in nanoseconds. `lease`, `margin`, `fade`: see Leases. `silent_for`, `out_after`, `back_after`: see
+    // Presence. `drain_time`: how long a drain has to have been known before the node may be removed.
+    Core(Shell &shell, Keeper &keeper, Time lease, Time margin, Time fade, Time silent_for, Time out_after,
+         Time back_after, Time drain_time);
+    ~Core();
+
+    // Rows of the store, before start. An empty answer is good.
+    std::string restore(Keeper::Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string_view body);
+    // `term`: of this life, above all before it in this store. `instance`: chance, another for each process.
+    // `rebuilt`: the store is new and an earlier one may have handed things out. False where the keeper fails.
+    bool start(Time now, Term term, std::uint64_t instance, std::uint64_t lineage, Version version, Version oldest,
+               std::uint64_t settings, bool rebuilt);
+
+    // New settings, taken whole or, with any fault, not at all. Faults: line and text.
+    void want(Time now, const Wanted &wanted, std::vector<std::pair<int, std::string>> &faults);
+    std::uint64_t settings() const { return wanted_.version; }
+
+    void came(Time now, SideId side);
+    void bytes(Time now, SideId side, std::string_view in);
+    void gone(Time now, SideId side);
+    Time next_due() const;
+    // The end of a moment: what is due is decided, made durable and told.
+    void settle(Time now);
+
+    Term term() const { return term_; }
+    Version version() const { return state_.version(); }
+    bool is_retired() const { return retired_; }
+    const State &state() const { return state_; }
+    const Parts &parts() const { return parts_; }
+    std::string status_json(Time now) const;
+
+  private:
+    struct Side;
+    void edge_hello(Side &side, EdgeId edge, const std::string &listen, Term term, std::uint64_t instance,
+                    std::uint64_t lineage, Version version, const std::vector<NodeId> &draining,
+                    const std::vector<VolumeId> &serving);
+    void renew(Side &side, Time at, Term term, Version version);
+    void node_hello(Side &side, NodeId node, ShardId shard, ZoneId zone, const std::string &address,
+                    std::uint64_t life, Time age);
+    void drain_asked(Side &side, NodeId node, bool draining, std::uint8_t how);
+    std::string effect(NodeId node, bool draining, bool &allowed, bool &serves) const;
+    void retire(const std::string &why);
+    // A newer planner's term was met. True if this one goes on, above it.
+    bool outranked(Term term, std::uint64_t instance, const std::string &who);
+    void close(Side &side, const std::string &why);
+    void decide_nodes();
+    void keep_changes();
+    void tell_sides();
+    Version least(EdgeId edge) const;
+    void keep_wanted();
+    Presence &presence(NodeId node);
+
+    Shell &shell_;
+    Keeper &keeper_;
+    Time silent_for_, out_after_, back_after_, drain_time_;
+    Leases leases_;
+    Parts parts_;
+    State state_;
+    Wanted wanted_;
+    std::map<NodeId, Presence> presence_;
+    std::set<NodeId> drained_; // by the operator's word
+    std::map<NodeId, std::pair<Version, Time>> draining_since_;
+    std::map<EdgeId, Version> least_;
+    std::map<SideId, std::unique_ptr<Side>> sides_;
+    std::map<EdgeId, SideId> edges_;
+    std::map<NodeId, SideId> nodes_;
+    std::vector<std::pair<SideId, std::string>> after_commit_;
+    std::set<std::string> said_;
+    Term term_;
+    std::uint64_t instance_ = 0, lineage_ = 0;
+    Version least_all_;
+    Time now_ = 0, started_ = 0, unknown_until_ = 0;
+    bool retired_ = false, started_up_ = false, commit_due_ = false, unknown_faded_ = false;
+};
+
+} // namespace knotvane::planner
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -59,20 +59,33 @@
     LimitPart(double rate, double burst, Time since) : rate_(rate), burst_(burst), at_(since) {}
     // Takes units if the part holds them. The most hosts ever told counts: another may still go by that.
     bool take(Time now, double units, double hosts) {
-        hosts_ = std::max(hosts_, hosts);
-        level_ = std::min(level_ + rate_ / hosts_ * seconds(now - at_), burst_ / hosts_ - set_aside_);
-        at_ = now;
+        refill(now, handed_over_ ? hosts_ : std::max(hosts_, hosts));
         if (units > level_) return false;
         level_ -= units, set_aside_ += units;
         return true;
     }
     void sent(double units) { set_aside_ -= units; }
     void give_back(double units) { set_aside_ -= units, level_ += units; }
-    bool never_fits(double units) const { return units > burst_ / hosts_; }
+    // From now on the part is handed over: no two hold the same, so it may grow again. None is endless hosts.
+    void hand(Time now, double hosts) {
+        refill(now, std::max(hosts_, hosts)); // what came in until now came at the smaller part
+        refill(now, hosts), handed_over_ = true;
+    }
+    void limit(Time now, double rate, double burst) {
+        if (rate != rate_ || burst != burst_) refill(now, hosts_), rate_ = rate, burst_ = burst;
+    }
+    // A part that is still to come is waited for.
+    bool never_fits(double units) const { return !std::isinf(hosts_) && units > burst_ / hosts_; }
 
   private:
+    void refill(Time now, double hosts) {
+        hosts_ = hosts;
+        level_ = std::min(level_ + rate_ / hosts_ * seconds(now - at_), burst_ / hosts_ - set_aside_);
+        at_ = now;
+    }
     double rate_, burst_, hosts_ = 1, level_ = 0, set_aside_ = 0;
     Time at_;
+    bool handed_over_ = false;
 };
 
 // ---- Further shots: how many may go beyond each task's first, in any window of the span.
@@ -360,7 +373,8 @@
     void add_plan(PlanId id, double weight, double usual, double reserve, double price) override {
         plans_[id].weight = std::max(weight, 1e-6), plans_[id].reserve = reserve;
         plans_[id].usual = usual, plans_[id].price = price;
-        shares_ += weight, usual_ += usual;
+        shares_ = usual_ = 0;
+        for (auto &[_, plan] : plans_) shares_ += plan.weight, usual_ += plan.usual;
     }
     void set_limit(PlanId id, double rate, double burst) override {
         plans_[id].limit_rate = rate, plans_[id].limit_burst = burst;
@@ -419,6 +433,11 @@
         ask_at_ = now + 500 * ms + static_cast<Time>(chance_() % 1000) * ms;
     }
 
+    void part_told(Time now, VolumeId volume, double hosts) override {
+        now_ = now;
+        limits_.try_emplace(volume, 0, 0, now).first->second.hand(now, hosts);
+    }
+
     void task_taken(Time now, TaskId id, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
                     KeyId key, double units, double hosts, bool writes, bool repeated,
                     Time client_timeout) override {
@@ -561,6 +580,7 @@
         const Plan &plan = plans_[t.plan];
         if (plan.limit_rate <= 0 || t.passed_limit) return true;
         auto &part = limits_.try_emplace(t.volume, plan.limit_rate, plan.limit_burst, born_).first->second;
+        part.limit(now_, plan.limit_rate, plan.limit_burst);
         t.passed_limit = part.take(now_, t.units, t.hosts);
         refuse_ = !t.passed_limit && part.never_fits(t.units);
         return t.passed_limit;
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -1,7 +1,8 @@
 // The interface of the decisions: what a scheduler is told and what it may do about it.
 //
 // Call order: make_scheduler; the set-up calls, each once (workload and plan once for each); ready; then
-// events in the order in which they happen. A run of events that share one moment ends with settle, in which
+// events in the order in which they happen. A plan and its limit may be told anew at any time and count for what
+// comes after. A run of events that share one moment ends with settle, in which
 // waiting work goes. A list of nodes comes as list_begins, node_listed for each line, list_ends.
 #pragma once
 
@@ -70,6 +71,9 @@
     virtual void node_listed(NodeId node, ShardId shard, ZoneId zone, NodeState state, Time started) = 0;
     virtual void list_ends() = 0;
     virtual void list_failed(Time now) = 0;
+    // This scheduler's part of a volume's limit is one over `hosts`, endless for none yet, and others' parts are
+    // kept from adding past the whole. Untold, a task's hosts count.
+    virtual void part_told(Time, VolumeId, double /*hosts*/) {}
     virtual void task_taken(Time now, TaskId task, WorkloadId workload, VolumeId volume, PlanId plan,
                             ShardId shard, KeyId key, double units, double hosts, bool writes, bool repeated,
                             Time client_timeout) = 0;
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -203,7 +203,7 @@
             s.add_workload(id, 300 * ms, client_timeout, writes ? 2 : 1, 0.1);
             s.set_repeat(id, writes ? repeat : Repeat::reissuable, Group::shard, writes ? window : 0);
             if (writes && !day.without_turns) s.set_turns(id, day.at_most_once ? client_timeout + 100 * ms : key_rest);
-            core.add_workload(id, static_cast<edge::Command>(i), ~0u, {}, client_timeout,
+            core.add_workload(id, static_cast<edge::Command>(i), ~0u, "", client_timeout,
                               writes && !day.at_most_once && !day.without_marks ? window : 0);
         }
         s.add_plan(PlanId{0}, 1, 100, 50, 1);
--- a/tests/gateway/door_test.cpp
+++ b/tests/gateway/door_test.cpp
@@ -51,7 +51,7 @@
     for (std::uint32_t i = 0; i < 5; ++i) {
         s.add_workload(WorkloadId{i}, sec, 2 * sec, 1, 0);
         s.set_repeat(WorkloadId{i}, Repeat::reissuable, Group::shard, 0);
-        core.add_workload(WorkloadId{i}, static_cast<edge::Command>(i), ~0u, {}, 2 * sec, 0);
+        core.add_workload(WorkloadId{i}, static_cast<edge::Command>(i), ~0u, "", 2 * sec, 0);
     }
     core.set_door(each, 1 << 20, 1 << 20, most_bytes);
     core.add_volume(VolumeId{1}, "v", 64 << 20, 512, PlanId{0}, 1);
@@ -123,7 +123,7 @@
         counted = made.get();
         return made;
     }, 0, 1, 256 << 10, 64 << 10, 64 << 10, {ShardId{0}});
-    core.add_workload(WorkloadId{0}, edge::Command::read, ~0u, {}, sec, 0);
+    core.add_workload(WorkloadId{0}, edge::Command::read, ~0u, "", sec, 0);
     core.add_volume(VolumeId{1}, "v", 64 << 20, 512, PlanId{0}, 1);
     core.ready(0);
     core.client_came(0, edge::ClientId{1});
--- /dev/null
+++ b/tests/planner/helpers.hpp
@@ -0,0 +1,120 @@
+// What the planner's tests share: a shell and a keeper written down, and an edge's side of a connection.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "planner/core.hpp"
+
+namespace knotvane::planner {
+
+struct Written final : Shell, Keeper {
+    std::map<SideId, std::string> sent;
+    std::vector<SideId> closed;
+    std::vector<std::string> said;
+    bool has_retired = false, durable = true;
+    int commits = 0;
+    std::map<std::tuple<Row, std::uint64_t, std::uint64_t>, std::pair<Version, std::string>> rows;
+    Version version;
+
+    void send(SideId side, std::string bytes) override { sent[side] += bytes; }
+    void close(SideId side) override { closed.push_back(side); }
+    void say(std::string text) override { said.push_back(std::move(text)); }
+    void retired() override { has_retired = true; }
+    void keep(Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string body) override {
+        rows[{row, a, b}] = {stamp, std::move(body)};
+    }
+    void drop(Row row, std::uint64_t a, std::uint64_t b) override { rows.erase({row, a, b}); }
+    bool commit(Term, std::uint64_t, Version v, Version, std::uint64_t) override {
+        commits += durable;
+        if (durable) version = v;
+        return durable;
+    }
+};
+
+// One plan with a limit, one volume (7), nodes 1 and 2 of shards 0 and 1.
+inline Wanted wanted(std::uint64_t version = 1) {
+    Wanted w;
+    w.version = version;
+    w.plans["p"] = {"p", 1, 100, 0, 1, 100, 50};
+    w.volumes[VolumeId{7}] = {{"v", 1 << 20, 512, {}}, "p", 12};
+    w.nodes[NodeId{1}] = {ShardId{0}, ZoneId{0}, false, "", 20};
+    w.nodes[NodeId{2}] = {ShardId{1}, ZoneId{0}, false, "", 25};
+    return w;
+}
+
+// What an edge makes of what it is sent.
+struct EdgeSide final : facts::Heard {
+    facts::Reader reader;
+    facts::Copy copy;
+    facts::Taken last = facts::Taken::old;
+    std::vector<Version> renewals;
+    std::string status_text, effect_text;
+    bool allowed = false, done = false;
+    void begins(facts::Term t, std::uint64_t i, std::uint64_t l, Version v, Version from, Time) override {
+        copy.begins(t, i, l, v, from);
+    }
+    void node(NodeId id, facts::Node n) override { copy.put(id, std::move(n)); }
+    void plan(PlanId id, facts::Plan p) override { copy.put(id, std::move(p)); }
+    void volume(VolumeId id, facts::Volume v) override { copy.put(id, std::move(v)); }
+    void part(VolumeId id, facts::Part p) override { copy.put(id, p); }
+    void no_node(NodeId id) override { copy.drop(id); }
+    void no_volume(VolumeId id) override { copy.drop_volume(id); }
+    void no_part(VolumeId id) override { copy.drop_part(id); }
+    void ends(Version v, std::uint64_t count) override { last = copy.ends(v, count); }
+    void renewed(Time, facts::Term, Time, Time, Version least) override { renewals.push_back(least); }
+    void status(const std::string &json) override { status_text = json; }
+    void effect(bool may, bool was, const std::string &text) override {
+        allowed = may, done = was, effect_text = text;
+    }
+    void unexpected(const char *) override {}
+};
+
+// A planner that has started, with nodes 1 and 2 registered; lease 1s, margin 100ms, fade 10s.
+struct Planning {
+    Written did;
+    Core core{did, did, sec, 100 * ms, 10 * sec, 500 * ms, 200 * ms, 200 * ms, sec};
+    std::map<std::uint64_t, EdgeSide> edges;
+
+    explicit Planning(Term term = Term{1}, bool rebuilt = false) {
+        core.start(0, term, 11, 5, Version{0}, Version{0}, 0, rebuilt);
+        std::vector<std::pair<int, std::string>> faults;
+        core.want(0, wanted(), faults);
+        node(0, 1), node(0, 2);
+        core.settle(0);
+    }
+    void node(Time now, std::uint64_t id, std::uint64_t life = 1, Time age = 3600 * sec) {
+        say(now, 100 + id + 1000 * life,
+            facts::node_hello(NodeId{id}, ShardId{static_cast<std::int32_t>(id) - 1}, ZoneId{0}, "n", life, age));
+    }
+    void say(Time now, std::uint64_t side, const std::string &bytes) {
+        if (seen.insert(side).second) core.came(now, SideId{side});
+        core.bytes(now, SideId{side}, bytes);
+    }
+    // An edge comes, with what it holds; its side has its own number.
+    void hello(Time now, std::uint64_t edge, std::vector<VolumeId> serving = {}) {
+        auto &c = edges[edge].copy;
+        say(now, edge,
+            facts::edge_hello(EdgeId{edge}, "e", c.term(), c.instance(), c.lineage(), c.version(), {}, serving));
+        core.settle(now);
+        read(edge);
+    }
+    void renew(Time now, std::uint64_t edge) {
+        auto &c = edges[edge].copy;
+        say(now, edge, facts::renew(now, c.term(), c.version()));
+        core.settle(now);
+        read(edge);
+    }
+    void read(std::uint64_t edge) {
+        auto bytes = std::exchange(did.sent[SideId{edge}], {});
+        edges[edge].reader.bytes(bytes, edges[edge]);
+    }
+    std::uint32_t part(std::uint64_t edge) {
+        auto &parts = edges[edge].copy.table().parts;
+        return parts.contains(VolumeId{7}) ? parts.at(VolumeId{7}).millionths : 0;
+    }
+    std::set<std::uint64_t> seen;
+};
+
+} // namespace knotvane::planner
--- /dev/null
+++ b/tests/planner/planner_test.cpp
@@ -0,0 +1,357 @@
+// The planner's decisions: parts of limits in every order of events, leases, nodes' presence, drains, settings,
+// other planners, and what an edge's copy takes.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "helpers.hpp"
+#include "planner/files.hpp"
+
+using namespace knotvane;
+using namespace knotvane::planner;
+
+TEST_SUITE("parts of a limit") {
+    TEST_CASE("shrink first, then grow: another edge gets its part once the first goes by less") {
+        Planning p;
+        p.hello(0, 1, {VolumeId{7}});
+        p.renew(0, 1);
+        CHECK(p.part(1) == 1000000);
+        p.hello(ms, 2, {VolumeId{7}});
+        CHECK(p.part(2) == 0);
+        CHECK(p.core.parts().bound(VolumeId{7}) == 1000000);
+        p.read(1);
+        CHECK(p.part(1) == 500000);
+        p.renew(2 * ms, 1); // says that it goes by less
+        p.renew(3 * ms, 2);
+        CHECK(p.part(2) == 500000);
+    }
+    TEST_CASE("an edge that is silent keeps a quarter past its lease, and nothing past that") {
+        Planning p;
+        p.hello(0, 1, {VolumeId{7}});
+        p.renew(0, 1);
+        p.hello(0, 2, {VolumeId{7}}); // the first never says that it heard of this
+        p.renew(0, 2);
+        p.renew(1100 * ms, 2);
+        CHECK(p.part(2) == 0);
+        p.renew(1101 * ms, 2);
+        p.renew(1102 * ms, 2);
+        CHECK(p.part(2) == 750000);
+        for (Time t = 2 * sec; t < 11 * sec; t += sec) p.renew(t, 2);
+        CHECK(p.part(2) == 750000);
+        for (Time t = 11101 * ms; t < 11105 * ms; t += ms) p.renew(t, 2);
+        CHECK(p.part(2) == 1000000);
+    }
+    TEST_CASE("an edge that comes back has no right before it goes by what was lowered meanwhile") {
+        Planning p;
+        p.hello(0, 1, {VolumeId{7}});
+        p.renew(0, 1);
+        p.renew(0, 1);
+        auto before = p.edges[1].renewals.size();
+        p.core.settle(1200 * ms); // lapsed; the news of it is sent, and lies unread
+        p.say(1300 * ms, 1, facts::renew(1300 * ms, Term{1}, p.edges[1].copy.version()));
+        p.core.settle(1300 * ms);
+        p.read(1);
+        CHECK(p.edges[1].renewals.size() == before);
+        p.renew(1301 * ms, 1);
+        CHECK(p.edges[1].renewals.size() == before + 1);
+    }
+    // Edges hold what they were last delivered, in any order, some of it never; and they fade on their own.
+    TEST_CASE("in any order of joins, leaves, news and lapses no more is held than the whole") {
+        CHECK(rc::check([] {
+            Parts parts;
+            std::uint64_t version = 0;
+            VolumeId v{1};
+            struct Edge {
+                std::uint32_t part = 0;
+                Version at, least;
+                int stage = 0; // 0 held, 1 a piece, 2 none
+            };
+            std::map<std::uint64_t, Edge> edges;
+            std::map<std::uint64_t, std::vector<std::pair<Version, std::uint32_t>>> mail; // never lost, any order
+            for (int i = 0, n = *rc::gen::inRange(1, 120); i < n; ++i) {
+                auto id = *rc::gen::inRange<std::uint64_t>(0, 4);
+                auto &e = edges[id];
+                EdgeId edge{id};
+                switch (*rc::gen::inRange(0, 7)) {
+                case 0: parts.serve(v, edge, true); break;
+                case 1: parts.serve(v, edge, false); break;
+                case 2: // an edge takes one of its letters; older ones are dropped
+                case 3:
+                    if (!mail[id].empty()) {
+                        auto at = *rc::gen::inRange<std::size_t>(0, mail[id].size());
+                        auto [ver, part] = mail[id][at];
+                        if (ver > e.at) e.at = ver, e.part = part;
+                    }
+                    break;
+                case 4: // its word comes in, perhaps an old one
+                    parts.acked(edge, e.at);
+                    if (e.at >= e.least && e.stage < 2) e.stage = 0, parts.back(edge);
+                    break;
+                case 5:
+                    if (e.stage == 0) {
+                        e.stage = 1;
+                        e.least = Version{version + parts.lapsed(edge)};
+                    }
+                    break;
+                case 6:
+                    // It has faded out, or comes back with nothing.
+                    if (e.stage == 1) parts.forgotten(edge), mail[id].clear(), e = {0, Version{version}, {}, 0};
+                    break;
+                }
+                ++version;
+                parts.part_out(
+                    Version{version},
+                    [&](VolumeId, EdgeId to, const facts::Part &part) {
+                        mail[to.value].emplace_back(Version{version}, part.millionths);
+                    },
+                    [](VolumeId, EdgeId, const Parts::Hold *) {});
+                std::uint64_t sum = 0;
+                for (auto &[_, x] : edges) sum += x.stage == 0 ? x.part : facts::usable(x.part, 1, 1);
+                RC_ASSERT(sum <= facts::whole_limit);
+                RC_ASSERT(parts.bound(v) <= facts::whole_limit);
+            }
+        }));
+    }
+    TEST_CASE("a store made anew parts nothing until what the old one gave must have run out") {
+        Planning p(Term{1}, true);
+        p.hello(0, 1, {VolumeId{7}});
+        p.renew(0, 1);
+        CHECK(p.part(1) == 0);
+        for (Time t = 0; t <= 2200 * ms; t += 100 * ms) p.renew(t, 1);
+        CHECK(p.part(1) == 750000);
+        for (Time t = 2200 * ms; t <= 13 * sec; t += 100 * ms) p.renew(t, 1);
+        CHECK(p.part(1) == 1000000);
+    }
+}
+
+TEST_SUITE("presence of a node") {
+    auto node = [] { return Presence(500 * ms, 200 * ms, 300 * ms, 60 * sec); };
+    TEST_CASE("silent to the planner but reached by an edge that vouches for it: in") {
+        auto n = node();
+        n.heard(0, "a", 1, 0);
+        int asked = 0;
+        for (Time t = 0; t < 10 * sec; t += 100 * ms) {
+            CHECK(n.in(t, 3));
+            if (n.to_ask(t)) ++asked, n.witness(EdgeId{1}, true);
+        }
+        CHECK(asked == 10);
+    }
+    TEST_CASE("silent, and nobody vouches for it: out after long") {
+        auto n = node();
+        n.heard(0, "a", 1, 0);
+        CHECK(n.in(2500 * ms, 3));
+        n.in(2501 * ms, 3);
+        CHECK_FALSE(n.in(2701 * ms, 3));
+    }
+    TEST_CASE("silent, and out of reach for most edges for a while: out") {
+        auto n = node();
+        n.heard(0, "a", 1, 0);
+        n.witness(EdgeId{1}, false);
+        CHECK(n.in(sec, 3));
+        n.witness(EdgeId{2}, false);
+        CHECK(n.in(2 * sec, 3));
+        CHECK(n.in(2199 * ms, 3));
+        CHECK_FALSE(n.in(2200 * ms, 3));
+    }
+    TEST_CASE("out of reach for edges, but heard: in") {
+        auto n = node();
+        n.witness(EdgeId{1}, false);
+        n.heard(0, "a", 1, 0);
+        for (Time t = 0; t < 2 * sec; t += 100 * ms) {
+            n.renewed(t), n.witness(EdgeId{1}, false);
+            CHECK(n.in(t, 1));
+        }
+    }
+    TEST_CASE("another life is in at once; the same has to be steady, the longer the more often it went") {
+        auto n = node();
+        n.heard(0, "a", 1, 0);
+        n.in(0, 0), n.in(sec, 0);
+        CHECK_FALSE(n.in(1200 * ms, 0));
+        n.renewed(1300 * ms);
+        CHECK_FALSE(n.in(1300 * ms, 0));
+        CHECK(n.in(1600 * ms, 0));
+        n.in(2 * sec, 0);
+        CHECK_FALSE(n.in(2300 * ms, 0)); // the second time within a minute
+        n.renewed(2400 * ms), n.in(2400 * ms, 0);
+        CHECK_FALSE(n.in(2700 * ms, 0));
+        n.heard(2800 * ms, "a", 2, 2800 * ms);
+        CHECK(n.in(2800 * ms, 0));
+        CHECK(n.started() == 2800 * ms);
+    }
+    TEST_CASE("one life keeps the start that was told first") {
+        auto n = node();
+        n.heard(0, "a", 1, 100);
+        n.heard(sec, "a", 1, 107);
+        CHECK(n.started() == 100);
+    }
+}
+
+TEST_SUITE("drains and settings") {
+    TEST_CASE("a drain says what it would do, needs force where nothing else serves, is durable before it is told") {
+        Planning p;
+        p.hello(0, 1);
+        p.renew(0, 1);
+        p.say(0, 50, facts::ask_drain(NodeId{1}, true, 1));
+        p.core.settle(0);
+        p.read(50);
+        CHECK_FALSE(p.edges[50].done);
+        CHECK(p.edges[50].effect_text.find("no other ready node holds its shard") != std::string::npos);
+        p.did.durable = false;
+        p.say(ms, 50, facts::ask_drain(NodeId{1}, true, 2));
+        p.core.settle(ms);
+        p.read(50), p.read(1);
+        CHECK_FALSE(p.edges[50].done);
+        CHECK(p.edges[1].copy.table().nodes.at(NodeId{1}).state == NodeState::ready);
+        p.did.durable = true;
+        p.core.settle(sec);
+        p.read(50), p.read(1);
+        CHECK(p.edges[50].done);
+        CHECK(p.edges[1].copy.table().nodes.at(NodeId{1}).state == NodeState::draining);
+    }
+    TEST_CASE("a planner that comes back from its rows holds the drain, and says so") {
+        Planning p;
+        p.say(0, 50, facts::ask_drain(NodeId{1}, true, 2));
+        p.core.settle(0);
+        Written after;
+        Core again(after, after, sec, 100 * ms, 10 * sec, 500 * ms, 200 * ms, 200 * ms, sec);
+        for (auto &[key, row] : p.did.rows) {
+            auto [kind, a, b] = key;
+            CHECK(again.restore(kind, a, b, row.first, row.second) == "");
+        }
+        again.start(0, Term{2}, 12, 5, p.did.version, Version{0}, 1, false);
+        again.settle(0);
+        CHECK(again.state().table().nodes.at(NodeId{1}).state == NodeState::draining);
+        CHECK(again.state().table().volumes == p.core.state().table().volumes);
+        CHECK(again.version() == p.did.version);
+    }
+    auto refusals = [](Planning &p, const Wanted &w, Time now = 0) {
+        std::vector<std::pair<int, std::string>> faults;
+        p.core.want(now, w, faults);
+        std::string all;
+        for (auto &[line, what] : faults) all += std::to_string(line) + ":" + what + ";";
+        return all;
+    };
+    TEST_CASE("a node in use can't be left out before its drain was known long enough; then it can") {
+        Planning p;
+        auto less = wanted(2);
+        less.nodes.erase(NodeId{1});
+        CHECK(refusals(p, less).find("drain it first") != std::string::npos);
+        CHECK(p.core.settings() == 1);
+        auto draining = wanted(2);
+        draining.nodes.at(NodeId{1}).draining = true;
+        CHECK(refusals(p, draining) == "");
+        p.core.settle(0);
+        less.version = 3;
+        CHECK(refusals(p, less, 999 * ms) != "");
+        CHECK(refusals(p, less, 1000 * ms) == "");
+        CHECK_FALSE(p.core.state().table().nodes.contains(NodeId{1}));
+    }
+    TEST_CASE("an older version, a shard that changes, a volume that shrinks or has clients: refused whole") {
+        Planning p;
+        p.hello(0, 1, {VolumeId{7}});
+        auto w = wanted(3);
+        w.nodes.at(NodeId{1}).shard = ShardId{5};
+        w.volumes.at(VolumeId{7}).fact.size = 512;
+        w.plans.at("p").weight = 9;
+        auto all = refusals(p, w);
+        CHECK(all.find("20:node 1 holds shard 0") != std::string::npos);
+        CHECK(all.find("12:volume v would shrink") != std::string::npos);
+        CHECK(p.core.state().table().plans.begin()->second.weight == 1);
+        w = wanted(3);
+        w.volumes[VolumeId{8}] = {{"w", 512, 512, {}}, "p", 0};
+        w.volumes.erase(VolumeId{7});
+        CHECK(refusals(p, w).find("has clients at 1 edges") != std::string::npos);
+        CHECK(refusals(p, wanted(3)) == "");
+        CHECK(refusals(p, wanted(2)).find("older than the one in use, 3") != std::string::npos);
+    }
+    TEST_CASE("the fleet's file: what is written is read; cut short anywhere it is refused, with a line") {
+        auto text = write_fleet(wanted());
+        std::vector<std::string> faults;
+        auto back = read_fleet("f", text, faults);
+        CHECK(faults.empty());
+        CHECK(write_fleet(back) == text);
+        auto whole = text.find_last_not_of("\n");
+        for (std::size_t cut = 0; cut < whole; ++cut) {
+            faults.clear();
+            read_fleet("f", text.substr(0, cut), faults);
+            CHECK_FALSE(faults.empty());
+        }
+        faults.clear();
+        read_fleet("f", "[fleet]\nversion = 1\nnodes = 0\nplans = 1\nvolumes = 1\n[plan p]\nweight = 0\nreserve = 5\n"
+                        "[volume v]\nsize = 4KiB\nplan = p\n[end]\nversion = 1\n", faults);
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0] == "f:7: [plan p] weight = 0: a plan with a reserve can't weigh nothing: its reserve would not be met");
+    }
+}
+
+TEST_SUITE("other planners, and what edges take") {
+    TEST_CASE("an edge that follows a newer term: this planner stops, and hands out nothing more") {
+        Planning p(Term{3});
+        p.say(0, 1, facts::edge_hello(EdgeId{1}, "e", Term{4}, 9, 5, Version{0}, {}, {}));
+        p.core.settle(0);
+        CHECK(p.did.has_retired);
+        CHECK(p.did.sent[SideId{1}].empty());
+    }
+    TEST_CASE("two planners under one term, and a store that is an old copy, are noticed, too") {
+        Planning p(Term{3});
+        p.say(0, 1, facts::edge_hello(EdgeId{1}, "e", Term{3}, 99, 5, Version{0}, {}, {}));
+        CHECK(p.did.has_retired);
+        Planning q(Term{3});
+        q.say(0, 1, facts::edge_hello(EdgeId{1}, "e", Term{2}, 9, 5, Version{900}, {}, {}));
+        CHECK(q.did.has_retired);
+    }
+    TEST_CASE("a store made anew goes above the term it meets, and holds the drains that edges know of") {
+        Planning p(Term{1}, true);
+        p.say(0, 1, facts::edge_hello(EdgeId{1}, "e", Term{8}, 9, 77, Version{30}, {NodeId{2}}, {}));
+        p.core.settle(0);
+        CHECK_FALSE(p.did.has_retired);
+        CHECK(p.core.term() == Term{9});
+        CHECK(p.core.state().table().nodes.at(NodeId{2}).state == NodeState::draining);
+    }
+    TEST_CASE("changes are told once each, however often they changed; what is not answered is told again") {
+        Planning p;
+        p.hello(0, 1);
+        p.renew(0, 1);
+        CHECK(p.edges[1].last == facts::Taken::whole);
+        for (std::uint64_t life = 2; life < 9; ++life) p.node(ms, 1, life, 0), p.core.settle(ms);
+        p.read(1);
+        CHECK(p.edges[1].copy.table().nodes.at(NodeId{1}).life == 2);
+        p.renew(2 * ms, 1);
+        CHECK(p.edges[1].last == facts::Taken::changes);
+        CHECK(p.edges[1].copy.table().nodes.at(NodeId{1}).life == 8);
+        CHECK(p.edges[1].copy.version() == p.core.version());
+        p.renew(2 * ms, 1);
+        p.node(3 * ms, 1, 20, 0), p.core.settle(3 * ms);
+        p.did.sent.clear(); // lost
+        p.core.settle(1100 * ms);
+        p.read(1);
+        CHECK(p.edges[1].copy.table().nodes.at(NodeId{1}).life == 20);
+    }
+    TEST_CASE("a peer that talks out of turn, or no protocol, is closed with one line") {
+        Planning p;
+        p.say(0, 60, facts::renew(0, Term{1}, Version{1}));
+        p.say(0, 61, "GET / HTTP/1.1\r\n\r\n");
+        p.say(0, 61, "more of it");
+        CHECK(p.did.closed.size() == 2);
+        CHECK(p.did.said.back().find("a message of") != std::string::npos);
+    }
+    TEST_CASE("an edge's copy: a gap, a broken count, an older term, another instance change nothing") {
+        facts::Copy c;
+        auto news = [&](std::uint64_t term, std::uint64_t instance, std::uint64_t version, std::uint64_t from,
+                        std::uint64_t count = 1) {
+            c.begins(Term{term}, instance, 1, Version{version}, Version{from});
+            c.put(VolumeId{version}, facts::Volume{"v" + std::to_string(version), 512, 512, PlanId{0}});
+            return c.ends(Version{version}, count);
+        };
+        CHECK(news(2, 1, 5, 0) == facts::Taken::whole);
+        CHECK(news(2, 1, 7, 6) == facts::Taken::gap);
+        CHECK(news(2, 1, 6, 5, 2) == facts::Taken::broken);
+        CHECK(news(2, 1, 5, 0) == facts::Taken::old);
+        CHECK(news(1, 1, 9, 0) == facts::Taken::alien);
+        CHECK(news(2, 2, 9, 0) == facts::Taken::alien);
+        CHECK(c.table().names.size() == 1);
+        CHECK(news(2, 1, 6, 5) == facts::Taken::changes);
+        CHECK(news(3, 9, 8, 6) == facts::Taken::changes);
+        CHECK(c.table().names.size() == 3);
+        CHECK(c.ends(Version{8}, 0) == facts::Taken::broken);
+    }
+}
