--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -11,5 +11,6 @@
 void add_check(CLI::App &app, int &code);
 void add_load(CLI::App &app, int &code);
 void add_days(CLI::App &app, int &code);
+void add_planner(CLI::App &app, int &code);
 
 } // namespace knotvane::cli
--- a/src/cli/days.cpp
+++ b/src/cli/days.cpp
@@ -2,11 +2,13 @@
 
 #include <cstdio>
 #include <filesystem>
+#include <functional>
 #include <memory>
 
 #include <CLI/CLI.hpp>
 
 #include "day/day.hpp"
+#include "day/outage.hpp"
 #include "day/passthrough.hpp"
 #include "rules/figures.hpp"
 #include "settings/ini.hpp"
@@ -33,9 +35,9 @@
     return rules::kept(judge) ? 0 : 1;
 }
 
-int play(const std::string &path, const std::string &record, const std::string &policy) {
-    std::string fault;
-    auto text = settings::File::slurp(path, fault);
+// `then`: called with what came of the loads.
+int play_text(const std::string &path, const std::string &text, std::string fault, const std::string &record,
+              const std::string &policy, const std::function<void(const std::map<std::string, day::Tally> &)> &then) {
     std::vector<std::string> faults;
     if (!fault.empty()) faults.push_back(fault);
     day::Script script;
@@ -48,6 +50,7 @@
     auto tallies = day::play(script, pattern, recording, [&](Actions &a, std::uint64_t seed) {
         return policy == "none" ? day::make_passthrough(a) : make_scheduler(a, seed);
     });
+    if (then) then(tallies);
     std::printf("%-18s %8s %8s %8s %8s %8s %8s %9s %9s %8s\n", "load", "asked", "good", "in time", "denied", "errored",
                 "lost", "p50 ms", "p99 ms", "value");
     double value = 0, due = 0;
@@ -72,6 +75,31 @@
     return code;
 }
 
+int play(const std::string &path, const std::string &record, const std::string &policy) {
+    std::string fault;
+    auto text = settings::File::slurp(path, fault);
+    return play_text(path, text, fault, record, policy, nullptr);
+}
+
+int outage(std::uint32_t times, std::uint64_t seed, const std::string &record) {
+    auto o = day::make_outages(times, seed);
+    double ratio = 0;
+    std::uint64_t lost = 0;
+    int code = play_text("outage", o.script, "", record, "knotvane", [&](auto &tallies) {
+        auto [good, all] = day::in_time(tallies, o.before);
+        auto [dead_good, dead_all] = day::in_time(tallies, o.dead);
+        double before = all ? static_cast<double>(good) / static_cast<double>(all) : 0;
+        double dead = dead_all ? static_cast<double>(dead_good) / static_cast<double>(dead_all) : 0;
+        ratio = before > 0 ? dead / before : 0;
+        for (auto &[name, t] : tallies) lost += t.lost;
+        std::printf("planner killed %u times while a node drains: in time before %.2f%% of %llu, while it is dead "
+                    "%.2f%% of %llu, ratio %.4f; requests lost %llu\n",
+                    times, 100 * before, static_cast<unsigned long long>(all), 100 * dead,
+                    static_cast<unsigned long long>(dead_all), ratio, static_cast<unsigned long long>(lost));
+    });
+    return code != 0 ? code : ratio < 0.98 || lost > 0 ? 1 : 0;
+}
+
 } // namespace
 
 void add_days(CLI::App &app, int &code) {
@@ -87,6 +115,19 @@
         ->check(CLI::IsMember({"knotvane", "none"}));
     d->footer("Exit code 0 only if every rule held.\nExample: knotvane day days/bad-day.ini --record /tmp/bad.recording");
     d->callback([o, &code] { code = play(o->file, o->record, o->policy); });
+    struct Deaths {
+        std::uint32_t times = 5;
+        std::uint64_t seed = 1;
+        std::string record;
+    };
+    auto x = std::make_shared<Deaths>();
+    auto *q = app.add_subcommand("outage", "kill the planner again and again while a node drains under load");
+    q->add_option("--times", x->times, "how often; 2.6 seconds each")->check(CLI::Range(1, 1000));
+    q->add_option("--seed", x->seed, "draws when and for how long");
+    q->add_option("--record", x->record, "keep the recording there");
+    q->footer("Exit code 0 only if every rule held, no request was lost and service in time while the planner was "
+              "dead\nwas within 2% of before. Example: knotvane outage --times 50 --seed 1");
+    q->callback([x, &code] { code = outage(x->times, x->seed, x->record); });
     auto *r = app.add_subcommand("rules", "judge the seven rules from recordings alone");
     r->add_option("RECORDING", o->recordings, "files that `day --record` wrote")->required();
     r->footer("Example: knotvane rules /tmp/bad.recording");
--- a/src/cli/local.cpp
+++ b/src/cli/local.cpp
@@ -34,7 +34,8 @@
     }
 };
 
-void local(std::uint64_t nodes, std::uint64_t edges, const std::string &dir, std::uint16_t port) {
+void local(std::uint64_t nodes, std::uint64_t edges, const std::string &dir, std::uint16_t port,
+           bool planner) {
     Folder folder(dir);
     // Blocked in all threads that come; taken here in turn.
     sigset_t ends;
@@ -43,8 +44,9 @@
     sigaddset(&ends, SIGTERM);
     pthread_sigmask(SIG_BLOCK, &ends, nullptr);
     fleet::Fleet fleet(folder.path, nodes, edges, port, fleet::default_scheduling(), fleet::default_service(),
-                       [](Actions &a, std::uint64_t seed) { return make_scheduler(a, seed); });
+                       [](Actions &a, std::uint64_t seed) { return make_scheduler(a, seed); }, planner);
     fleet.start();
+    if (planner) std::printf("planner %s\n", fleet.planner_address().c_str());
     for (std::size_t e = 0; e < fleet.edges(); ++e)
         for (auto volume : {"members", "reports"})
             std::printf("nbd://%s/%s\n", fleet.edge_address(e).c_str(), volume);
@@ -61,6 +63,7 @@
         std::uint64_t nodes = 3, edges = 1;
         std::string dir;
         std::uint16_t port = 0;
+        bool planner = false;
     };
     auto o = std::make_shared<Options>();
     auto *cmd = app.add_subcommand("local", "run a whole gateway on loopback with embedded defaults");
@@ -69,18 +72,19 @@
         ->check(CLI::Range(1, 64));
     cmd->add_option("--dir", o->dir, "folder for the stores; kept. Without it a new one is used and removed");
     cmd->add_option("--port", o->port, "the first edge's port, the next ones above; 0: free ones");
+    cmd->add_flag("--planner", o->planner, "with a planner, a process of its own; see `knotvane status`");
     cmd->footer("Prints a line nbd://ADDRESS:PORT/VOLUME for each edge and volume once it serves.\n"
                 "Example: knotvane local --nodes 4 --dir /tmp/kv\n"
                 "         nbdcopy FILE nbd://127.0.0.1:PORT/members");
     cmd->callback([o, &code] {
-        local(o->nodes, o->edges, o->dir, o->port);
+        local(o->nodes, o->edges, o->dir, o->port, o->planner);
         code = 0;
     });
 }
 
 void add_check(CLI::App &app, int &code) {
     auto files = std::make_shared<std::vector<std::string>>();
-    auto *cmd = app.add_subcommand("check", "check settings files: an edge's, a node's or a list of nodes");
+    auto *cmd = app.add_subcommand("check", "check settings files: an edge's, a node's, a planner's, a fleet's or a list of nodes");
     cmd->add_option("FILE", *files, "settings files")->required();
     cmd->footer("Every fault of every file is printed, one line each with file, line and what was expected.\n"
                 "Example: knotvane check edge.ini nodes.ini");
@@ -94,9 +98,13 @@
                 faults.push_back(fault);
             } else if (text.find("[list]") != std::string::npos) {
                 edge::read_nodes(path, text, faults);
+            } else if (text.find("[fleet]") != std::string::npos) {
+                planner::read_fleet(path, text, faults);
             } else {
                 settings::File file(path, text);
-                if (text.find("[node]") != std::string::npos)
+                if (text.find("[planner]") != std::string::npos)
+                    planner::read_own(file, [](auto...) {}, [](auto...) {});
+                else if (text.find("[node]") != std::string::npos)
                     node::check(file);
                 else
                     edge::check(file);
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -20,32 +20,18 @@
 
 constexpr const char *node_faults[] = {"mute", "hang", "slow", "reset", "refuse", "full",
                                        "fail", "cut",  "garble", "late", "rot"};
-constexpr const char *others[] = {"restart", "drain", "hold", "split", "swallow", "sever", "late_list"};
-
-// The text of the sections of some kinds, headers included.
-std::string part_of(const std::string &text, std::initializer_list<std::string_view> kinds) {
-    std::istringstream in(text);
-    std::string line, out;
-    bool take = false;
-    while (std::getline(in, line)) {
-        if (!line.empty() && line[0] == '[') {
-            auto kind = line.substr(1, line.find_first_of(" ]") - 1);
-            take = std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
-        }
-        if (take) out += line + "\n";
-    }
-    return out;
-}
+constexpr const char *others[] = {"restart", "drain", "hold", "split", "swallow", "sever", "late_list",
+                                  "planner_kill", "planner_pause", "undrain"};
 
 } // namespace
 
 Script read_script(const std::string &name, const std::string &text, std::vector<std::string> &faults) {
     Script s;
-    s.scheduling = part_of(text, {"plan", "volume", "workload", "shots", "units", "nodes", "door"});
-    s.service = part_of(text, {"speed", "cold", "pauses"});
+    s.scheduling = fleet::sections(text, {"plan", "volume", "workload", "shots", "units", "nodes", "door"});
+    s.service = fleet::sections(text, {"speed", "cold", "pauses"});
     if (s.scheduling.empty()) s.scheduling = fleet::default_scheduling();
     if (s.service.empty()) s.service = fleet::default_service();
-    settings::File file(name, part_of(text, {"day", "load", "trouble"}));
+    settings::File file(name, fleet::sections(text, {"day", "load", "trouble"}));
     // Settings of the parts are checked as the parts will read them.
     settings::File edge(name + " (edge's part)", fleet::edge_settings(0, 1, "127.0.0.1:0", "x", 1, s.scheduling));
     settings::File node(name + " (nodes' part)", fleet::node_settings(1, 0, "127.0.0.1:0", "x", s.service));
@@ -55,6 +41,7 @@
         for (auto &what : f->faults()) faults.push_back(what);
     auto &day = file.one("day", true);
     s.length = day.time("length"), s.seed = day.count("seed", 0, ~0u, 1);
+    s.planner = day.flag("planner", false);
     s.nodes = day.count("nodes", 1, 64, 3), s.edges = day.count("edges", 1, 64, 1);
     std::uint64_t n = 0;
     for (auto *l : file.all("load")) {
@@ -94,6 +81,8 @@
             for (auto *k : others) all += std::string(k) + (k == std::end(others)[-1] ? "" : ", ");
             t->fault("kind", "expected one of " + all);
         }
+        if (!s.planner && (x.kind.starts_with("planner") || x.kind == "undrain"))
+            t->fault("kind", "goes with planner = yes in [day]");
         s.troubles.push_back(std::move(x));
     }
     std::stable_sort(s.troubles.begin(), s.troubles.end(), [](auto &a, auto &b) { return a.at < b.at; });
@@ -112,26 +101,43 @@
     std::vector<std::pair<Time, std::function<void()>>> later;
 
     Stage(const Script &s, const std::string &dir, const std::string &recording, const fleet::MakeScheduler &make)
-        : script(s), writer(recording), fleet(dir, s.nodes, s.edges, 0, s.scheduling, s.service, make) {
+        : script(s), writer(recording), fleet(dir, s.nodes, s.edges, 0, s.scheduling, s.service, make, s.planner) {
         on_relay([&] {
             relay = std::make_unique<relay::Relay>(relay_worker.loop(), writer);
             // The layout of fleet::edge_settings.
             relay->put(record::Kind::figures, 0, 0, 0,
                        rules::figures_of(s.scheduling, s.service, 256 << 10, 64 << 10));
         });
+        fleet.on_told = [this](std::size_t edge, const edge::NodeList &list) {
+            relay_worker.loop().post([this, edge, nodes = list.nodes] { told(edge, nodes); });
+        };
         fleet.address_for = [this](std::size_t edge, NodeId node, const std::string &address) {
-            auto &front = fronts_[{edge, node}];
-            if (front.empty()) on_relay([&] { front = relay->front_of_node(edge, node, address); });
+            std::string front;
+            // On the relay's thread: edges that hear from a planner ask at the same time.
+            on_relay([&] {
+                auto &known = fronts_[{edge, node}];
+                if (known.empty()) known = relay->front_of_node(edge, node, address);
+                front = known;
+            });
             return front;
         };
     }
     ~Stage() {
+        // Edges tell the relay what they hear until they end.
+        for (std::size_t e = 0; e < fleet.edges(); ++e) fleet.stop_edge(e);
         on_relay([&] {
             relay.reset();
             writer.put(loop::now(), record::Kind::end, 0, 0, 0, {});
             writer.flush();
         });
     }
+    void told(std::size_t edge, const std::vector<edge::ListedNode> &nodes) {
+        for (auto &n : nodes) relay->put(record::Kind::told, edge, n.id.value, static_cast<std::uint64_t>(n.state));
+    }
+    // The operator asks until the planner does it: it may be down.
+    void drain(NodeId node, bool on) {
+        if (!fleet.drain(node, on)) at(loop::now() + 50 * ms, [this, node, on] { drain(node, on); });
+    }
     void on_relay(const std::function<void()> &call) { relay_worker.run(call); }
     void at(Time when, std::function<void()> call) {
         auto it = std::find_if(later.begin(), later.end(), [&](auto &l) { return l.first > when; });
@@ -150,11 +156,9 @@
             }
             return;
         }
+        if (script.planner) return; // tells its edges itself
         fleet.tell(edge);
-        on_relay([&] {
-            for (auto &n : fleet.list().nodes)
-                relay->put(record::Kind::told, edge, n.id.value, static_cast<std::uint64_t>(n.state));
-        });
+        on_relay([&] { told(edge, fleet.list().nodes); });
     }
     void begin(const Trouble &t);
 
@@ -198,6 +202,25 @@
             fleet.list_as(id, NodeState::ready, started);
             tell(~std::size_t{0});
         });
+    } else if (t.kind == "planner_kill") {
+        fleet.kill_planner();
+        at(until, [this] { fleet.start_planner(); });
+    } else if (t.kind == "planner_pause") {
+        fleet.pause_planner(true);
+        at(until, [this] { fleet.pause_planner(false); });
+    } else if (t.kind == "undrain") {
+        drain(id, false);
+    } else if (t.kind == "drain" && script.planner) {
+        drain(id, true);
+        if (t.count == 0) return; // it comes back by an undrain
+        at(until, [this, node = t.node, id] {
+            on_relay([&] { relay->block(id); });
+            fleet.replace(node);
+            on_relay([&] { relay->put(record::Kind::started, fleet.node_id(node).value, 0, 0); });
+            at(loop::now() + 2 * sec, [this, id] {
+                fleet.change_settings([&](planner::Wanted &w) { w.nodes.erase(id); });
+            });
+        });
     } else if (t.kind == "drain") {
         fleet.list_as(id, NodeState::draining, 0);
         tell(~std::size_t{0});
@@ -209,8 +232,13 @@
             tell(~std::size_t{0});
         });
     } else if (t.kind == "late_list") {
-        for (std::size_t e = 0; e < fleet.edges(); ++e)
-            if (t.edge == ~std::size_t{0} || t.edge == e) late_until_[e] = until;
+        for (std::size_t e = 0; e < fleet.edges(); ++e) {
+            if (t.edge != ~std::size_t{0} && t.edge != e) continue;
+            late_until_[e] = until;
+            if (!script.planner) continue;
+            fleet.with_edge(e, [](edge::Server &s) { s.deafen(true); });
+            at(until, [this, e] { fleet.with_edge(e, [](edge::Server &s) { s.deafen(false); }); });
+        }
     } else {
         on_relay([&] {
             std::uint64_t edge = t.edge;
@@ -228,7 +256,7 @@
                                   const fleet::MakeScheduler &make) {
     Stage stage(script, dir, recording, make);
     stage.fleet.start();
-    stage.tell(~std::size_t{0});
+    if (!script.planner) stage.tell(~std::size_t{0});
     fleet::Worker driver;
     std::vector<std::unique_ptr<load::Stream>> streams;
     std::vector<std::string> fronts(script.edges);
@@ -269,6 +297,7 @@
                 double value = write ? l.write_value : l.value;
                 ++t.asked, t.value_due += value;
                 auto second = static_cast<std::size_t>(std::max<Time>(0, l.shape.begin + s.at) / sec);
+                t.samples.emplace_back(l.shape.begin + s.at, s.error == 0 && s.took <= (write ? l.write_due : l.due));
                 if (t.course.size() <= second) t.course.resize(second + 1);
                 t.course[second].second += value;
                 if (s.error == ~0u)
--- a/src/day/day.hpp
+++ b/src/day/day.hpp
@@ -32,6 +32,7 @@
 struct Script {
     std::string scheduling, service; // settings' text for edges and nodes
     std::uint64_t nodes = 3, edges = 1, seed = 1;
+    bool planner = false; // a process of its own tells nodes, volumes and parts
     Time length = 10 * sec;
     std::vector<Load> loads;
     std::vector<Trouble> troubles;
@@ -45,6 +46,7 @@
     std::uint64_t asked = 0, good = 0, in_time = 0, denied = 0, errored = 0, lost = 0, missed = 0;
     double value = 0, value_due = 0;
     std::vector<Time> took;
+    std::vector<std::pair<Time, bool>> samples; // when asked for, from the day's start, and whether well and in time
     std::vector<std::pair<double, double>> course; // value delivered in time and asked for, by second
 };
 
--- /dev/null
+++ b/tests/fuzz/plan_fuzz.cpp
@@ -0,0 +1,53 @@
+// Any bytes to a planner and to an edge's subscription: neither may crash, a planner must close what it can't read
+// with one line, and an edge's copy must not change by news that is not whole.
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+
+#include "../planner/helpers.hpp"
+#include "edge/subscription.hpp"
+
+namespace {
+
+using namespace knotvane;
+
+struct Line final : edge::Line {
+    std::size_t said = 0, hung_up = 0, taken = 0;
+    void dial() override {}
+    void hang_up() override { ++hung_up; }
+    void send_planner(std::string) override {}
+    void keep_plan(std::string, bool) override {}
+    void say(std::string) override { ++said; }
+    void plan_taken(const facts::Table &, bool, bool, const std::map<NodeId, Time> &) override { ++taken; }
+    void part_told(VolumeId, double) override {}
+};
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) {
+    std::size_t piece = size > 0 ? 1 + data[0] : 1;
+    std::string_view in(reinterpret_cast<const char *>(data), size);
+    if (size > 0) in.remove_prefix(1);
+    planner::Planning p;
+    auto lines = p.did.said.size();
+    for (std::size_t at = 0; at < in.size(); at += piece) p.say(0, 70, std::string(in.substr(at, piece)));
+    p.core.settle(0);
+    auto closed = std::count(p.did.closed.begin(), p.did.closed.end(), planner::SideId{70});
+    if (closed > 1 || (closed == 1 && p.did.said.size() == lines)) std::abort();
+    if (p.core.parts().bound(VolumeId{7}) > facts::whole_limit) std::abort();
+    Line line;
+    edge::Subscription s(line, facts::EdgeId{1}, "e", 1, sec, 3600 * sec);
+    s.start(0, {});
+    s.up(0);
+    auto before = s.copy().version();
+    for (std::size_t at = 0; at < in.size(); at += piece) {
+        s.bytes(0, in.substr(at, piece));
+        if (line.taken == 0 && s.copy().version() != before) std::abort();
+    }
+    s.tick(1);
+    if (line.hung_up > 1) std::abort();
+    // The same bytes as a plan on disk.
+    edge::Subscription t(line, facts::EdgeId{1}, "e", 1, sec, 3600 * sec);
+    t.start(0, in);
+    return 0;
+}
--- a/tests/gateway/day_test.cpp
+++ b/tests/gateway/day_test.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 
 #include "day/day.hpp"
+#include "day/outage.hpp"
 #include "day/passthrough.hpp"
 #include "rules/figures.hpp"
 
@@ -54,7 +55,15 @@
     }
 };
 
-std::string trouble(const std::string &text) { return "\n[trouble x]\n" + text; }
+// The same, with a planner's process beside it.
+std::string planned(const std::string &troubles) {
+    auto text = script(troubles);
+    return text.replace(text.find("edges = 1"), 9, "edges = 2\nplanner = yes");
+}
+
+std::string trouble(const std::string &text, const std::string &name = "x") {
+    return "\n[trouble " + name + "]\n" + text;
+}
 
 } // namespace
 
@@ -98,3 +107,39 @@
         CHECK(faults[0] == "d.ini:2: [day] length = 5: expected a time like 250ms or 4s (ns, us, ms, s)");
     }
 }
+
+TEST_SUITE("days with a planner") {
+    TEST_CASE("killed while a node drains, and back after the drain's end was asked for") {
+        Played p(planned(trouble("at = 500ms\nkind = drain\nnode = 0") +
+                         trouble("at = 560ms\nkind = planner_kill\nlength = 700ms", "y") +
+                         trouble("at = 800ms\nkind = undrain\nnode = 0", "z")));
+        p.check_kept();
+        CHECK(p.judge.judged(rules::Rule::drains) > 50);
+        CHECK(p.tallies["a"].lost == 0);
+    }
+    TEST_CASE("killed before a drained node is replaced; late news to one edge; stopped and woken") {
+        Played p(planned(trouble("at = 300ms\nkind = drain\nnode = 1\nlength = 600ms\ncount = 1") +
+                         trouble("at = 700ms\nkind = planner_kill\nlength = 500ms", "y") +
+                         trouble("at = 200ms\nkind = late_list\nedge = 1\nlength = 900ms", "z") +
+                         trouble("at = 1500ms\nkind = planner_pause\nlength = 600ms", "w")));
+        p.check_kept();
+    }
+    TEST_CASE("a node that restarts is cold for every edge that hears of it from the planner") {
+        Played p(planned(trouble("at = 500ms\nkind = restart\nnode = 0\nlength = 200ms\nlose = yes") +
+                         trouble("at = 650ms\nkind = planner_kill\nlength = 300ms", "y")));
+        p.check_kept();
+    }
+    TEST_CASE("deaths at points from a seed: service in time holds, no request is lost") {
+        auto o = day::make_outages(2, 3);
+        Played p(o.script);
+        CHECK(p.fault == "");
+        for (auto &b : p.judge.broken()) FAIL_CHECK(b);
+        auto [good, all] = day::in_time(p.tallies, o.before);
+        auto [dead_good, dead_all] = day::in_time(p.tallies, o.dead);
+        CHECK(all > 20);
+        CHECK(dead_all > 20);
+        // The 2% of the long run are for the long run; a few requests late on a busy machine are not a death's harm.
+        CHECK(static_cast<double>(dead_good) / static_cast<double>(dead_all) > 0.9);
+        for (auto &[name, t] : p.tallies) CHECK(t.lost == 0);
+    }
+}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -252,6 +252,29 @@
         p.sent(10);
         CHECK(p.take(30 * sec, 10, 2));
     }
+    TEST_CASE("7: a part that is handed over grows again, and fills only from then on, at what it was") {
+        LimitPart p(10, 20, 0);
+        p.hand(0, 2);
+        CHECK(p.take(sec, 5, 7)); // told by the planner, not with the task
+        p.sent(5);
+        p.hand(2 * sec, 4); // 2.5 came in, as at the smaller part
+        p.hand(3 * sec, 1); // and 2.5
+        CHECK_FALSE(p.take(3 * sec, 5.1, 1));
+        CHECK(p.take(3 * sec, 5, 1));
+        p.sent(5);
+        CHECK(p.take(4 * sec, 10, 1));
+    }
+    TEST_CASE("7: no part yet is waited for; what its limit was before it is known does not come in") {
+        LimitPart p(0, 0, 0);
+        p.hand(0, std::numeric_limits<double>::infinity());
+        p.limit(5 * sec, 10, 20);
+        CHECK_FALSE(p.take(6 * sec, 1, 1));
+        CHECK_FALSE(p.never_fits(1));
+        p.hand(7 * sec, 2);
+        CHECK_FALSE(p.take(7 * sec, 1, 1));
+        CHECK(p.take(8 * sec, 5, 1));
+        CHECK(p.never_fits(11));
+    }
 }
 
 TEST_SUITE("beside the design") {
