--- a/bench/plan_bench.cpp
+++ b/bench/plan_bench.cpp
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
 
 #include "../tests/planner/helpers.hpp"
+#include "edge/planfile.hpp"
 #include "edge/subscription.hpp"
 #include "sim/planning.hpp"
 
@@ -21,7 +23,11 @@
     void dial() override {}
     void hang_up() override {}
     void send_planner(std::string) override {}
-    void keep_plan(std::string, bool) override {}
+    void keep_plan(std::string bytes, bool anew) override {
+        if (!edge::write_plan(path, bytes, anew)) std::printf("can't write %s\n", path.c_str());
+    }
+    std::string path = (std::filesystem::temp_directory_path() / "knotvane-plan-bench").string();
+    ~Line() override { std::filesystem::remove(path); }
     void say(std::string) override {}
     void plan_taken(const facts::Table &, bool, bool, const std::map<NodeId, Time> &) override {}
     void part_told(VolumeId, double) override {}
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -33,7 +33,8 @@
 if(KNOTVANE_PROGRAM)
   pkg_check_modules(nbd REQUIRED IMPORTED_TARGET libnbd)
   package_tests(gateway SOURCES tests/gateway/libnbd_test.cpp tests/gateway/day_test.cpp tests/gateway/door_test.cpp
-                LIBS knotvane_day PkgConfig::nbd)
+                tests/gateway/planner_test.cpp
+                LIBS knotvane_day PkgConfig::nbd nlohmann_json::nlohmann_json)
   add_dependencies(gateway_tests knotvane-planner)
 endif()
 if(KNOTVANE_PROGRAM)
--- a/src/edge/server.cpp
+++ b/src/edge/server.cpp
@@ -1,9 +1,8 @@
 #include "edge/server.hpp"
 
 #include <algorithm>
-#include <cstdio>
-#include <fstream>
 
+#include "edge/planfile.hpp"
 #include "edge/settings.hpp"
 #include "log/log.hpp"
 
@@ -84,13 +83,7 @@
 }
 void Server::keep_plan(std::string bytes, bool anew) {
     if (plan_path_.empty()) return;
-    // Written beside and renamed, so that a start finds the old plan or the new one; what is added after it and
-    // cut short is dropped at the next start.
-    auto to = anew ? plan_path_ + ".new" : plan_path_;
-    std::ofstream out(to, anew ? std::ios::binary | std::ios::trunc : std::ios::binary | std::ios::app);
-    out << bytes;
-    out.close();
-    bool well = out.good() && (!anew || std::rename(to.c_str(), plan_path_.c_str()) == 0);
+    bool well = write_plan(plan_path_, bytes, anew);
     if (!well && !std::exchange(said_unkept_, true)) say(plan_path_ + ": the last plan can't be kept there");
     if (well) said_unkept_ = false;
 }
--- a/src/planner/store.cpp
+++ b/src/planner/store.cpp
@@ -67,6 +67,8 @@
         for (auto *s : statements_) sqlite3_finalize(s);
         sqlite3_close_v2(db_);
         if (code == SQLITE_BUSY || code == SQLITE_LOCKED) what = "in use by another planner";
+        if (code == SQLITE_CORRUPT || code == SQLITE_NOTADB)
+            what = "damaged: " + what + "; expected a whole store: bring it back, or --rebuild";
         fail(what);
     }
 }
@@ -79,8 +81,8 @@
     auto *check = prepare("PRAGMA quick_check(1)");
     if (sqlite3_step(check) != SQLITE_ROW ||
         std::strcmp(reinterpret_cast<const char *>(sqlite3_column_text(check, 0)), "ok") != 0)
-        throw std::runtime_error("damaged: the file's pages don't hold together; expected a whole store. Rebuild "
-                                 "from the edges (--rebuild), or bring back the file");
+        throw std::runtime_error("damaged: its pages don't hold together; expected a whole store: bring it back, "
+                                 "or --rebuild");
     sqlite3_reset(check);
     rows([&](Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string_view body) {
         auto sum = sum_of(row, a, b, stamp, body);
