--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -18,6 +18,7 @@
   endfunction()
 
   package_tests(nbd SOURCES tests/nbd/server_test.cpp LIBS knotvane_nbd)
+  package_tests(store SOURCES tests/store/store_test.cpp LIBS knotvane_store)
   package_tests(node SOURCES tests/node/node_test.cpp LIBS knotvane_node)
   package_tests(sim SOURCES tests/sim/sim_test.cpp LIBS knotvane_sim)
   package_tests(planning SOURCES tests/sim/planning_test.cpp LIBS knotvane_sim_planning)
--- a/src/node/disk.hpp
+++ b/src/node/disk.hpp
@@ -16,10 +16,12 @@
 #include "core/ids.hpp"
 #include "core/time.hpp"
 #include "frames/frames.hpp"
-#include "node/store.hpp"
+#include "store/store.hpp"
 
 namespace knotvane::node {
 
+using store::Medium;
+using store::Store;
 using ConnId = Id<struct ConnKind, std::uint64_t>;
 
 // What a node asks of its shell.
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -60,12 +60,12 @@
 
 Server::Server(loop::Loop &loop, settings::File &file) : loop_(loop) {
     std::uint64_t id, shard, seed, zone;
-    std::string listen_on, store, planner;
+    std::string listen_on, path, planner;
     bool sync;
     Time age;
-    read_identity(file, id, shard, listen_on, store, sync, seed, age, planner, zone);
+    read_identity(file, id, shard, listen_on, path, sync, seed, age, planner, zone);
     id_ = NodeId{id}, shard_ = ShardId{static_cast<std::int32_t>(shard)}, address_ = listen_on;
-    medium_ = file_medium(store, sync);
+    medium_ = store::file_medium(path, sync);
     store_ = std::make_unique<Store>(*medium_);
     disk_ = std::make_unique<Disk>(id_, shard_, *store_, *this, seed, loop::now() - age);
     read_service(file, disk_.get());
@@ -87,6 +87,11 @@
 Server::~Server() {
     loop_.at_end(nullptr);
     for (auto &[id, s] : conns_) s->close(true);
+    try {
+        store_->close();
+    } catch (const std::exception &e) {
+        say(e.what()); // the next opening takes it for a store that may have lost something
+    }
 }
 
 void Server::listen(bool open) {
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -40,15 +40,15 @@
     NodeId id;
     ShardId shard;
     std::string &bytes;
-    std::unique_ptr<node::Medium> medium;
-    node::Store store;
+    std::unique_ptr<store::Medium> medium;
+    store::Store store;
     node::Disk disk;
     bool listening = true;
     Time wake = never;
     std::map<node::ConnId, std::pair<std::size_t, edge::LinkId>> peers; // edge, link
 
     NodeHost(World &world, NodeId i, ShardId s, std::string &b, std::uint64_t seed, Time now)
-        : w(world), id(i), shard(s), bytes(b), medium(node::memory_medium(b)), store(*medium),
+        : w(world), id(i), shard(s), bytes(b), medium(store::memory_medium(b)), store(*medium),
           disk(i, s, store, *this, seed, now) {
         disk.set_speed(unit_time, 2, 4, 24);
         disk.set_cold(0.25, 3 * sec, sec, 4);
--- a/src/store/medium.cpp
+++ b/src/store/medium.cpp
@@ -1,4 +1,4 @@
-#include "node/medium.hpp"
+#include "store/medium.hpp"
 
 #include <cerrno>
 #include <cstring>
@@ -6,7 +6,7 @@
 #include <stdexcept>
 #include <unistd.h>
 
-namespace knotvane::node {
+namespace knotvane::store {
 namespace {
 
 class File final : public Medium {
@@ -73,4 +73,4 @@
 }
 std::unique_ptr<Medium> memory_medium(std::string &bytes) { return std::make_unique<Memory>(bytes); }
 
-} // namespace knotvane::node
+} // namespace knotvane::store
--- a/src/store/medium.hpp
+++ b/src/store/medium.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace knotvane::node {
+namespace knotvane::store {
 
 class Medium {
   public:
@@ -23,4 +23,4 @@
 // Bytes in memory, kept by the caller so that they outlive a restart.
 std::unique_ptr<Medium> memory_medium(std::string &bytes);
 
-} // namespace knotvane::node
+} // namespace knotvane::store
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -1,11 +1,12 @@
-// A shard's data: blocks with a checksum each, and the marks of the writes that were done, in one medium. The
-// one owner of that format. A store outlives the processes that serve it; its life changes when what was
-// answered but not flushed is lost.
+// A shard's data: volumes, snapshots and clones that share the blocks they have in common, and the marks of the writes
+// that were done, in one medium. The one owner of that format (docs/store-format.md). A store outlives the processes
+// that serve it; its life changes when what was answered but not flushed may be lost.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -14,67 +15,122 @@
 
 #include "core/ids.hpp"
 #include "core/time.hpp"
-#include "node/medium.hpp"
+#include "store/medium.hpp"
 
-namespace knotvane::node {
+namespace knotvane::store {
 
 class Store {
   public:
-    static constexpr std::uint32_t block = 4096; // a checksum covers this much
-    static constexpr std::uint32_t chunk = 64 * block; // space is given out by this much: small, for sparse files
+    static constexpr std::uint32_t block = 4096; // a checksum covers this much, and this much is shared or copied
+    // How cutting a snapshot or a clone went. `exists`: by this id, from the same source: a resend. `taken`: the id is
+    // another's. `full`: the reserve that writes need would be touched. `failed`: the medium.
+    enum class Cut { done, exists, taken, full, failed };
 
-    // Opens what is there, or makes an empty store. Throws std::runtime_error where the header or the directory
-    // does not match its checksum.
-    explicit Store(Medium &medium);
+    // Opens what is there, or makes an empty store of so many blocks; the number may grow from one opening to the
+    // next. Throws std::runtime_error: what does not match its checksum, or a medium that fails.
+    explicit Store(Medium &medium, std::uint64_t capacity = std::uint64_t{1} << 24);
+    ~Store();
+    Store(const Store &) = delete;
 
     std::uint64_t life() const { return life_; }
-    // Reads a range of a volume onto `to`; what was never written reads as zeroes. False where a block does
-    // not match its checksum.
+    // Reads a range of a volume onto `to`; what was never written reads as zeroes. False where a block does not
+    // match its checksum.
     bool read(VolumeId volume, std::uint64_t offset, std::uint32_t length, std::string &to);
-    // Writes; blocks that are written in part keep the rest. False where that rest does not match its
-    // checksum or the store has no space left.
+    // Writes, all or nothing; blocks that are written in part keep the rest. False where that rest does not match
+    // its checksum, no space is left, the medium fails, or the volume is a snapshot.
     bool write(VolumeId volume, std::uint64_t offset, std::string_view bytes);
     bool zero(VolumeId volume, std::uint64_t offset, std::uint32_t length);
     // The range's runs of data (true) and holes, in order, lengths in bytes.
-    std::vector<std::pair<std::uint32_t, bool>> runs(VolumeId volume, std::uint64_t offset,
-                                                     std::uint32_t length);
-    // What was written so far is durable from here on.
+    std::vector<std::pair<std::uint32_t, bool>> runs(VolumeId volume, std::uint64_t offset, std::uint32_t length);
+    // What was written so far is durable from here on. Throws where the medium can't: nothing is served after that.
     void flush();
+    // Nothing more comes: the next opening goes on with the same life.
+    void close();
     // As if the power were cut: all since the last flush is gone, and the life is another one.
     void lose();
 
+    // ---- Snapshots and clones, durable when they return. Time and space by what changes later, not by size.
+    // `as` is what `of` is now; frozen: it can't be written.
+    Cut cut(VolumeId of, VolumeId as, bool frozen);
+    // False where there is none, or the medium fails. Its blocks come back by reclaim.
+    bool drop(VolumeId volume);
+    bool has(VolumeId volume) const { return branches_.contains(volume); }
+    bool frozen(VolumeId volume) const;
+    // Ranges (bytes, in order) in which two differ.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> diff(VolumeId a, VolumeId b) const;
+    // Takes down up to so many nodes of dropped trees; false once there is nothing left.
+    bool reclaim(std::size_t nodes);
+    std::uint64_t blocks_used() const { return used_; }
+    std::uint64_t capacity() const { return capacity_; }
+    // Blocks that this volume's next write to `offset` would have to copy: shared ones. For what a write costs.
+    bool shared(VolumeId volume, std::uint64_t offset) const;
+
     // Whether a write with this mark was done, as far as that is remembered: until its not-after time.
     bool was_done(std::uint64_t life, std::uint64_t number, Time now);
     void remember(std::uint64_t life, std::uint64_t number, Time not_after, Time now);
     std::size_t marks() const { return marks_.size(); }
 
+    // Every tree walked, every block read, every count counted anew: what does not hold, one line each.
+    std::vector<std::string> check();
+    // Memory of trees and counts, bytes: by blocks written, not by the sizes of volumes.
+    std::size_t memory() const;
     // Turns one stored bit over, as a failing disk does, without touching its checksum.
     void rot(VolumeId volume, std::uint64_t offset);
 
   private:
+    static constexpr std::size_t width = 64;
+    struct Entry {
+        std::uint32_t slot = 0, crc = 0; // slot 0: never written
+        bool operator==(const Entry &) const = default;
+    };
+    struct Node;
+    using Ptr = std::shared_ptr<Node>;
+    struct Branch {
+        Ptr root;
+        int levels = 0; // below the root
+        VolumeId of;    // what it was cut from
+        bool is_cut = false, frozen = false;
+    };
     using Mark = std::pair<std::uint64_t, std::uint64_t>;
-    struct Chunk {
-        std::uint32_t slot;
-        std::vector<std::uint32_t> crcs; // 0: never written
+    struct Change {
+        std::uint64_t at; // block
+        Entry entry;
     };
-    Chunk *find(VolumeId volume, std::uint64_t offset);
-    Chunk *need(VolumeId volume, std::uint64_t offset);
-    std::uint64_t block_at(const Chunk &c, std::uint32_t index) const;
-    std::uint64_t crc_at(const Chunk &c, std::uint32_t index) const;
-    bool load(const Chunk &c, std::uint32_t index, char *to);
-    void save(Chunk &c, std::uint32_t index, std::string_view bytes, std::uint32_t crc);
-    void write_header();
-    void write_mark(std::size_t place, Mark mark, Time not_after);
+
+    Entry find(const Branch &b, std::uint64_t at) const;
+    void set(Branch &b, std::uint64_t at, Entry entry);
+    Node &own(Ptr &p, int level);
+    bool load(const Entry &e, char *to);
+    std::uint32_t take_slot();
+    void unref(std::uint32_t slot);
+    bool change(VolumeId volume, std::uint64_t offset, std::uint64_t length, const char *bytes);
+    void log(VolumeId volume, const std::vector<Change> &changes);
+    bool put_all(VolumeId volume, const std::vector<Change> &changes);
+    void apply(VolumeId volume, const std::vector<Change> &changes);
+    Cut cut_tree(VolumeId of, VolumeId as, bool frozen);
+    void drop_tree(VolumeId volume);
+
+    void append(char kind, std::string_view payload);
+    void replay(char kind, std::string_view payload, bool durable, bool &sound);
+    void checkpoint();
+    std::string dump() const;
+    void restore(std::string_view body);
+    void open();
+    void count();
+    void area_read(int area, std::uint64_t at, char *to, std::size_t size);
+    void area_write(int area, std::uint64_t at, std::string_view bytes);
 
     Medium &medium_;
-    std::uint64_t life_ = 1;
-    std::map<std::pair<VolumeId, std::uint64_t>, Chunk> chunks_;
+    std::uint64_t capacity_, life_ = 1, generation_ = 0, sequence_ = 0, journal_at_ = 0, journal_from_ = 0;
+    std::uint64_t flushed_at_ = 0, used_ = 0, nodes_ = 0;
+    int area_ = 0;
+    bool broken_ = false, unflushed_ = false;
+    std::map<VolumeId, Branch> branches_;
+    std::vector<std::uint32_t> refs_; // by slot: in how many leaves it stands
+    std::vector<std::uint32_t> free_, free_soon_, free_later_; // see flush
+    std::vector<std::pair<Ptr, int>> dying_;
     std::map<Mark, Time> marks_;
     std::multimap<Time, Mark> forget_; // by not-after
-    std::size_t next_mark_ = 0;
-    // What stood there at the last flush, of what changed since.
-    std::map<std::pair<std::uint32_t, std::uint32_t>, std::pair<std::uint32_t, std::string>> before_;
-    std::vector<std::pair<std::size_t, Mark>> marks_since_;
 };
 
-} // namespace knotvane::node
+} // namespace knotvane::store
--- a/tests/node/helpers.hpp
+++ b/tests/node/helpers.hpp
@@ -34,7 +34,7 @@
 
 struct Rig {
     std::string bytes;
-    std::unique_ptr<Medium> medium = memory_medium(bytes);
+    std::unique_ptr<Medium> medium = store::memory_medium(bytes);
     Store store{*medium};
     Told told;
     Disk disk{NodeId{1}, ShardId{0}, store, told, 7, 0};
