Look over a node's store with `knotvane store check`, which changes nothing

An operator could not tell a whole store from a damaged one, and opening one writes to it. The check opens it over a layer that keeps what is written in memory, walks every tree, reads every block and counts everything anew. Also: an argument of the planner that nothing used is gone.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -61,7 +61,7 @@
                       PRIVATE PkgConfig::xxhash nlohmann_json::nlohmann_json)
 add_library(knotvane_day src/day/day.cpp src/day/outage.cpp src/day/passthrough.cpp src/relay/relay.cpp)
 target_link_libraries(knotvane_day PUBLIC knotvane_fleet knotvane_driver knotvane_figures PRIVATE knotvane_log)
-add_executable(knotvane src/cli/main.cpp src/cli/local.cpp src/cli/load.cpp src/cli/days.cpp src/cli/planner.cpp)
+add_executable(knotvane src/cli/main.cpp src/cli/local.cpp src/cli/load.cpp src/cli/days.cpp src/cli/planner.cpp src/cli/store.cpp)
 target_link_libraries(knotvane PRIVATE knotvane_day knotvane_log CLI11::CLI11 nlohmann_json::nlohmann_json)
 add_executable(knotvane-edge src/cli/edge_main.cpp)
 target_link_libraries(knotvane-edge PRIVATE knotvane_servers knotvane_log CLI11::CLI11)
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -74,7 +74,7 @@
     }
     void superseded(Term term) override {
         if (expect(Role::edge, "another planner's term"))
-            core.outranked(term, ~std::uint64_t{0}, "edge " + text(edge));
+            core.outranked(term, "edge " + text(edge));
     }
     void node_hello(NodeId n, ShardId shard, ZoneId zone, const std::string &address, std::uint64_t life,
                     Time age) override {
@@ -320,7 +320,7 @@
                       std::uint64_t lineage, Version version, const std::vector<NodeId> &draining,
                       const std::vector<VolumeId> &serving) {
     if ((term > term_ || (term == term_ && instance != instance_)) &&
-        !outranked(term, instance, "edge " + text(edge)))
+        !outranked(term, "edge " + text(edge)))
         return;
     if (lineage == lineage_ && version > state_.version())
         return retire("edge " + text(edge) + " goes by version " + text(version) + " of this store, which stands at " +
@@ -348,7 +348,7 @@
 }
 
 void Core::renew(Side &side, Time at, Term term, Version version) {
-    if (term > term_) return void(outranked(term, ~std::uint64_t{0}, "edge " + text(side.edge)));
+    if (term > term_) return void(outranked(term, "edge " + text(side.edge)));
     side.edge_term = term;
     // Versions of another store say nothing here, until the edge goes by one of ours.
     if (term == term_) side.edge_lineage = lineage_;
@@ -402,10 +402,9 @@
     shell_.say("this planner (term " + text(term_) + ") stops planning: " + why);
     shell_.retired();
 }
-bool Core::outranked(Term term, std::uint64_t instance, const std::string &who) {
+bool Core::outranked(Term term, const std::string &who) {
     if (unknown_until_ > 0 && term >= term_) {
         // A store made anew knows nothing of the terms before: it goes above each that it meets.
-        (void)instance;
         term_ = Term{term.value + 1};
         commit_due_ = true;
         for (auto &[id, side] : sides_) side->in_flight = false;
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -110,7 +110,7 @@
     std::string effect(NodeId node, bool draining, bool &allowed, bool &serves) const;
     void retire(const std::string &why);
     // A newer planner's term was met. True if this one goes on, above it.
-    bool outranked(Term term, std::uint64_t instance, const std::string &who);
+    bool outranked(Term term, const std::string &who);
     void close(Side &side, const std::string &why);
     void decide_nodes();
     void keep_changes();
--- a/src/planner/server.cpp
+++ b/src/planner/server.cpp
@@ -25,7 +25,6 @@
             listen = at, path = store, fleet_path_ = fleet, seed = s;
         },
         [&](Time lease, Time margin, Time fade, Time silent, Time out, Time back, Time drain) {
-            // The keeper is made below, and asked for nothing before.
             if (from == From::rebuild) {
                 auto aside = path + ".aside";
                 if (std::rename(path.c_str(), aside.c_str()) == 0) say("store put aside as " + aside);
--- a/src/store/medium.cpp
+++ b/src/store/medium.cpp
@@ -1,8 +1,10 @@
 #include "store/medium.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
+#include <map>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -66,6 +68,42 @@
     std::string &bytes_;
 };
 
+class Untouched final : public Medium {
+  public:
+    explicit Untouched(Medium &below) : below_(below) {}
+    void read(std::uint64_t at, char *to, std::size_t size) override {
+        each(at, size, [&](std::uint64_t number, std::size_t within, std::size_t n) {
+            auto it = pages_.find(number);
+            if (it == pages_.end())
+                below_.read(number * page + within, to, n);
+            else
+                std::memcpy(to, it->second.data() + within, n);
+            to += n;
+        });
+    }
+    void write(std::uint64_t at, std::string_view bytes) override {
+        each(at, bytes.size(), [&](std::uint64_t number, std::size_t within, std::size_t n) {
+            auto [it, is_new] = pages_.try_emplace(number, page, '\0');
+            if (is_new) below_.read(number * page, it->second.data(), page);
+            std::memcpy(it->second.data() + within, bytes.data(), n);
+            bytes.remove_prefix(n);
+        });
+    }
+    void sync() override {}
+
+  private:
+    static constexpr std::size_t page = 4096;
+    template <class Call> static void each(std::uint64_t at, std::size_t size, Call call) {
+        while (size > 0) {
+            auto within = static_cast<std::size_t>(at % page), n = std::min(size, page - within);
+            call(at / page, within, n);
+            at += n, size -= n;
+        }
+    }
+    Medium &below_;
+    std::map<std::uint64_t, std::string> pages_;
+};
+
 } // namespace
 
 std::unique_ptr<Medium> file_medium(const std::string &path, bool sync_for_real) {
@@ -73,4 +111,6 @@
 }
 std::unique_ptr<Medium> memory_medium(std::string &bytes) { return std::make_unique<Memory>(bytes); }
 
+std::unique_ptr<Medium> untouched(Medium &below) { return std::make_unique<Untouched>(below); }
+
 } // namespace knotvane::store
--- a/src/store/medium.hpp
+++ b/src/store/medium.hpp
@@ -20,6 +20,8 @@
 
 // A sparse file, made where it is absent. Throws std::runtime_error naming the path.
 std::unique_ptr<Medium> file_medium(const std::string &path, bool sync_for_real);
+// What is written stays in memory, over what lies below, which is only read: to look at a store and change nothing.
+std::unique_ptr<Medium> untouched(Medium &below);
 // Bytes in memory, kept by the caller so that they outlive a restart.
 std::unique_ptr<Medium> memory_medium(std::string &bytes);
 
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -120,6 +120,22 @@
         CHECK(s.write(VolumeId{1}, 4096, std::string(4096, 'y')));
         CHECK(s.check().empty());
     }
+    TEST_CASE("a look over a store changes no byte of it, and sees what is there") {
+        std::string bytes;
+        auto medium = memory_medium(bytes);
+        {
+            Store s(*medium);
+            s.write(VolumeId{1}, 100, std::string(9000, 'x'));
+        }
+        auto before = bytes;
+        auto over = untouched(*medium);
+        Store look(*over);
+        std::string got;
+        CHECK(look.read(VolumeId{1}, 100, 9000, got));
+        CHECK(got == std::string(9000, 'x'));
+        CHECK(look.check().empty());
+        CHECK(bytes == before);
+    }
     TEST_CASE("what was not flushed is lost with its marks, the rest stays, the life is another") {
         std::string bytes;
         auto medium = memory_medium(bytes);
