--- a/src/edge/server.cpp
+++ b/src/edge/server.cpp
@@ -24,11 +24,11 @@
     core_->ready(loop::now());
     listener_ = std::make_unique<loop::Listener>(loop_, listen, [this](std::shared_ptr<loop::Socket> s) {
         ClientId id{++next_client_};
-        clients_[id] = s;
+        clients_.add(id, s);
         s->on_bytes = [this, id](std::string_view in) { core_->client_bytes(loop::now(), id, in); };
         s->on_written = [this, id](std::size_t n) { core_->client_written(loop::now(), id, n); };
         s->on_gone = [this, id] {
-            clients_.erase(id);
+            clients_.remove(id);
             core_->client_gone(loop::now(), id);
         };
         s->start();
@@ -44,8 +44,6 @@
 Server::~Server() {
     loop_.at_end(nullptr);
     planner_.reset();
-    for (auto &[id, s] : clients_) s->close(true);
-    for (auto &[id, s] : links_) s->close(true);
 }
 
 void Server::follow_planner(settings::File &file, std::uint64_t seed) {
@@ -124,17 +122,9 @@
     // What was written makes room for more, which is sent in the same moment; a few rounds do.
     for (int round = 0; round < 4; ++round) {
         core_->settle(loop::now());
-        if (client_out_.empty() && link_out_.empty()) break;
-        for (auto id : std::exchange(link_out_, {}))
-            if (auto it = links_.find(id); it != links_.end()) {
-                auto s = it->second;
-                s->flush();
-            }
-        for (auto id : std::exchange(client_out_, {}))
-            if (auto it = clients_.find(id); it != clients_.end()) {
-                auto s = it->second;
-                s->flush();
-            }
+        if (!clients_.has_out() && !links_.has_out()) break;
+        links_.flush();
+        clients_.flush();
     }
     if (!subscription_) return core_->next_due();
     planner_->flush();
@@ -143,45 +133,34 @@
 
 void Server::connect(LinkId id, const std::string &address) {
     auto s = std::make_shared<loop::Socket>(loop_);
-    links_[id] = s;
+    links_.add(id, s);
     s->on_bytes = [this, id](std::string_view in) { core_->link_bytes(loop::now(), id, in); };
     s->on_written = [this, id](std::size_t n) { core_->link_written(loop::now(), id, n); };
     s->on_gone = [this, id] {
-        links_.erase(id);
+        links_.remove(id);
         core_->link_gone(loop::now(), id);
     };
     s->connect(address, [this, id](bool well) {
-        if (!links_.contains(id)) return;
+        if (!links_.find(id)) return;
         if (well) return core_->link_up(loop::now(), id);
-        auto socket = links_.at(id);
-        links_.erase(id);
-        socket->close();
+        links_.remove(id)->close();
         core_->link_failed(loop::now(), id);
     });
 }
 void Server::send(LinkId id, std::string bytes) {
-    if (auto it = links_.find(id); it != links_.end()) it->second->send(std::move(bytes)), link_out_.insert(id);
+    links_.send(id, std::move(bytes));
 }
 void Server::close(LinkId id) {
-    auto it = links_.find(id);
-    if (it == links_.end()) return;
-    auto s = it->second;
-    links_.erase(it);
-    s->close();
+    if (auto s = links_.remove(id)) s->close();
 }
 void Server::send_client(ClientId id, std::string bytes) {
-    if (auto it = clients_.find(id); it != clients_.end())
-        it->second->send(std::move(bytes)), client_out_.insert(id);
+    clients_.send(id, std::move(bytes));
 }
 void Server::close_client(ClientId id) {
-    auto it = clients_.find(id);
-    if (it == clients_.end()) return;
-    auto s = it->second;
-    clients_.erase(it);
-    s->close_when_sent();
+    if (auto s = clients_.remove(id)) s->close_when_sent();
 }
 void Server::hold_client(ClientId id, bool hold) {
-    if (auto it = clients_.find(id); it != clients_.end()) it->second->hold(hold);
+    if (auto s = clients_.find(id)) s->hold(hold);
 }
 void Server::say(std::string text) { log::line(log::warn, text, {{"edge", std::to_string(id_)}}); }
 void Server::shot_ended(TaskId task, NodeId node, Outcome how, Time took) {
--- a/src/edge/server.hpp
+++ b/src/edge/server.hpp
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "edge/core.hpp"
@@ -12,6 +11,7 @@
 #include "edge/subscription.hpp"
 #include "loop/dialled.hpp"
 #include "loop/loop.hpp"
+#include "loop/sockets.hpp"
 #include "settings/ini.hpp"
 
 namespace knotvane::edge {
@@ -66,10 +66,8 @@
     std::unique_ptr<Subscription> subscription_; // with a planner
     std::uint64_t lists_ = 0;
     bool said_unkept_ = false;
-    std::map<ClientId, std::shared_ptr<loop::Socket>> clients_;
-    std::map<LinkId, std::shared_ptr<loop::Socket>> links_;
-    std::set<ClientId> client_out_;
-    std::set<LinkId> link_out_;
+    loop::Sockets<ClientId> clients_;
+    loop::Sockets<LinkId> links_;
 };
 
 } // namespace knotvane::edge
--- a/src/facts/messages.cpp
+++ b/src/facts/messages.cpp
@@ -3,6 +3,9 @@
 #include <cmath>
 #include <cstring>
 #include <stdexcept>
+#include <tuple>
+#include <type_traits>
+#include <utility>
 
 #include <msgpack.hpp>
 
@@ -44,6 +47,11 @@
     return out;
 }
 
+template <class T> struct is_id : std::false_type {};
+template <class K, class R> struct is_id<Id<K, R>> : std::true_type {};
+template <class T> struct is_list : std::false_type {};
+template <class T> struct is_list<std::vector<T>> : std::true_type {};
+
 // Takes the fields of one message one by one; throws where one is missing or of another kind.
 class Fields {
   public:
@@ -51,202 +59,112 @@
         if (o.type != msgpack::type::ARRAY || o.via.array.size == 0) throw std::runtime_error("expected a list");
         at_ = o.via.array.ptr, end_ = at_ + o.via.array.size;
     }
-    template <class T> T get() {
-        const auto &f = next();
-        if constexpr (std::is_same_v<T, double>) {
-            auto v = f.as<double>();
-            if (!std::isfinite(v)) throw std::runtime_error("expected a finite number");
+    template <class T> T take() {
+        if constexpr (std::is_same_v<T, Node>) {
+            Node n;
+            n.address = take<std::string>(), n.shard = take<ShardId>(), n.zone = take<ZoneId>();
+            n.state = take<NodeState>(), n.started = take<Time>(), n.life = take<std::uint64_t>();
+            return n;
+        } else if constexpr (std::is_same_v<T, Plan>) {
+            Plan p;
+            p.name = take<std::string>(), p.weight = take<double>(), p.usual = take<double>();
+            p.reserve = take<double>(), p.price = take<double>(), p.rate = take<double>(), p.burst = take<double>();
+            return p;
+        } else if constexpr (std::is_same_v<T, Volume>) {
+            Volume v;
+            v.name = take<std::string>(), v.size = take<std::uint64_t>(), v.least = take<std::uint32_t>();
+            v.plan = take<PlanId>();
             return v;
+        } else if constexpr (std::is_same_v<T, Part>) {
+            Part p;
+            p.millionths = take<std::uint32_t>(), p.hosts = take<std::uint32_t>();
+            if (p.millionths > whole_limit) throw std::runtime_error("a part of more than the whole");
+            return p;
         } else {
-            return f.as<T>();
+            if (at_ == end_) throw std::runtime_error("a field is missing");
+            return one<T>(*at_++);
         }
     }
-    template <class I> I id() { return I{get<decltype(I::value)>()}; }
-    template <class I> std::vector<I> ids() {
-        const auto &f = next();
-        if (f.type != msgpack::type::ARRAY) throw std::runtime_error("expected a list of ids");
-        std::vector<I> out;
-        for (std::uint32_t i = 0; i < f.via.array.size; ++i)
-            out.push_back(I{f.via.array.ptr[i].as<decltype(I::value)>()});
-        return out;
-    }
-    NodeState state() {
-        auto v = get<std::uint8_t>();
-        if (v > static_cast<std::uint8_t>(NodeState::ready)) throw std::runtime_error("expected a state, 0 to 2");
-        return static_cast<NodeState>(v);
-    }
-    void done() {
+    void done() const {
         if (at_ != end_) throw std::runtime_error("more fields than expected");
     }
 
   private:
-    const msgpack::object &next() {
-        if (at_ == end_) throw std::runtime_error("a field is missing");
-        return *at_++;
+    template <class T> static T one(const msgpack::object &f) {
+        if constexpr (is_id<T>::value) {
+            return T{f.as<decltype(T::value)>()};
+        } else if constexpr (is_list<T>::value) {
+            if (f.type != msgpack::type::ARRAY) throw std::runtime_error("expected a list of ids");
+            T out;
+            for (std::uint32_t i = 0; i < f.via.array.size; ++i)
+                out.push_back(one<typename T::value_type>(f.via.array.ptr[i]));
+            return out;
+        } else if constexpr (std::is_same_v<T, NodeState>) {
+            auto v = f.as<std::uint8_t>();
+            if (v > static_cast<std::uint8_t>(NodeState::ready)) throw std::runtime_error("expected a state, 0 to 2");
+            return static_cast<NodeState>(v);
+        } else if constexpr (std::is_same_v<T, double>) {
+            auto v = f.as<double>();
+            if (!std::isfinite(v)) throw std::runtime_error("expected a finite number");
+            return v;
+        } else {
+            return f.as<T>();
+        }
     }
     const msgpack::object *at_, *end_;
 };
 
+// All of a message's fields, in the order and kinds of what hears it; `check` looks at them before it does.
+template <class... A, class Check>
+void hear(Fields &f, Heard &to, void (Heard::*what)(A...), Check check) {
+    std::tuple<std::decay_t<A>...> fields{f.take<std::decay_t<A>>()...}; // braces: one after the other
+    f.done();
+    std::apply(check, fields);
+    std::apply([&](auto &...field) { (to.*what)(std::move(field)...); }, fields);
+}
+template <class... A> void hear(Fields &f, Heard &to, void (Heard::*what)(A...)) {
+    hear(f, to, what, [](auto &...) {});
+}
+void expect_protocol(Fields &f) {
+    if (auto p = f.take<std::uint32_t>(); p != protocol)
+        throw std::runtime_error("protocol " + std::to_string(p) + ", expected " + std::to_string(protocol));
+}
+
 void decode(Fields &f, Heard &to) {
-    auto kind = f.get<std::uint8_t>();
-    // Fields are taken in their order; each message ends where its last field does.
+    auto kind = f.take<std::uint8_t>();
     switch (static_cast<Kind>(kind)) {
-    case Kind::edge_hello: {
-        if (auto p = f.get<std::uint32_t>(); p != protocol)
-            throw std::runtime_error("protocol " + std::to_string(p) + ", expected " + std::to_string(protocol));
-        auto edge = f.id<EdgeId>();
-        auto listen = f.get<std::string>();
-        auto term = f.id<Term>();
-        auto instance = f.get<std::uint64_t>(), lineage = f.get<std::uint64_t>();
-        auto version = f.id<Version>();
-        auto draining = f.ids<NodeId>();
-        auto serving = f.ids<VolumeId>();
-        f.done();
-        return to.edge_hello(edge, listen, term, instance, lineage, version, draining, serving);
-    }
-    case Kind::renew: {
-        auto at = f.get<Time>();
-        auto term = f.id<Term>();
-        auto version = f.id<Version>();
-        f.done();
-        return to.renew(at, term, version);
-    }
-    case Kind::ask: f.done(); return to.ask();
-    case Kind::serve: {
-        auto volume = f.id<VolumeId>();
-        auto on = f.get<bool>();
-        f.done();
-        return to.serve(volume, on);
-    }
-    case Kind::witness: {
-        auto node = f.id<NodeId>();
-        auto reached = f.get<bool>();
-        f.done();
-        return to.witness(node, reached);
-    }
-    case Kind::superseded: {
-        auto term = f.id<Term>();
-        f.done();
-        return to.superseded(term);
-    }
-    case Kind::node_hello: {
-        if (auto p = f.get<std::uint32_t>(); p != protocol)
-            throw std::runtime_error("protocol " + std::to_string(p) + ", expected " + std::to_string(protocol));
-        auto node = f.id<NodeId>();
-        auto shard = f.id<ShardId>();
-        auto zone = f.id<ZoneId>();
-        auto address = f.get<std::string>();
-        auto life = f.get<std::uint64_t>();
-        auto age = f.get<Time>();
-        if (age < 0) throw std::runtime_error("expected an age of 0 or more");
-        f.done();
-        return to.node_hello(node, shard, zone, address, life, age);
-    }
-    case Kind::node_renew: f.done(); return to.node_renew();
-    case Kind::ask_status: f.done(); return to.status_asked();
-    case Kind::ask_drain: {
-        auto node = f.id<NodeId>();
-        auto draining = f.get<bool>();
-        auto how = f.get<std::uint8_t>();
-        if (how > 2) throw std::runtime_error("expected a drain asked, done or forced, 0 to 2");
-        f.done();
-        return to.drain_asked(node, draining, how);
-    }
-    case Kind::begins: {
-        auto term = f.id<Term>();
-        auto instance = f.get<std::uint64_t>(), lineage = f.get<std::uint64_t>();
-        auto version = f.id<Version>(), from = f.id<Version>();
-        auto now = f.get<Time>();
-        f.done();
-        return to.begins(term, instance, lineage, version, from, now);
-    }
-    case Kind::node: {
-        auto id = f.id<NodeId>();
-        Node n;
-        n.address = f.get<std::string>(), n.shard = f.id<ShardId>(), n.zone = f.id<ZoneId>();
-        n.state = f.state(), n.started = f.get<Time>(), n.life = f.get<std::uint64_t>();
-        f.done();
-        return to.node(id, std::move(n));
-    }
-    case Kind::plan: {
-        auto id = f.id<PlanId>();
-        Plan p;
-        p.name = f.get<std::string>(), p.weight = f.get<double>(), p.usual = f.get<double>();
-        p.reserve = f.get<double>(), p.price = f.get<double>(), p.rate = f.get<double>(), p.burst = f.get<double>();
-        f.done();
-        return to.plan(id, std::move(p));
-    }
-    case Kind::volume: {
-        auto id = f.id<VolumeId>();
-        Volume v;
-        v.name = f.get<std::string>(), v.size = f.get<std::uint64_t>(), v.least = f.get<std::uint32_t>();
-        v.plan = f.id<PlanId>();
-        f.done();
-        return to.volume(id, std::move(v));
-    }
-    case Kind::part: {
-        auto id = f.id<VolumeId>();
-        Part p;
-        p.millionths = f.get<std::uint32_t>(), p.hosts = f.get<std::uint32_t>();
-        if (p.millionths > whole_limit) throw std::runtime_error("a part of more than the whole");
-        f.done();
-        return to.part(id, p);
-    }
-    case Kind::no_node: {
-        auto id = f.id<NodeId>();
-        f.done();
-        return to.no_node(id);
-    }
-    case Kind::no_plan: {
-        auto id = f.id<PlanId>();
-        f.done();
-        return to.no_plan(id);
-    }
-    case Kind::no_volume: {
-        auto id = f.id<VolumeId>();
-        f.done();
-        return to.no_volume(id);
-    }
-    case Kind::no_part: {
-        auto id = f.id<VolumeId>();
-        f.done();
-        return to.no_part(id);
-    }
-    case Kind::ends: {
-        auto version = f.id<Version>();
-        auto count = f.get<std::uint64_t>();
-        f.done();
-        return to.ends(version, count);
-    }
-    case Kind::renewed: {
-        auto at = f.get<Time>();
-        auto term = f.id<Term>();
-        auto lease = f.get<Time>(), fade = f.get<Time>();
-        auto least = f.id<Version>();
-        f.done();
-        return to.renewed(at, term, lease, fade, least);
-    }
-    case Kind::node_told: {
-        auto state = f.state();
-        f.done();
-        return to.node_told(state);
-    }
-    case Kind::ask_witness: {
-        auto node = f.id<NodeId>();
-        f.done();
-        return to.witness_asked(node);
-    }
-    case Kind::status: {
-        auto text = f.get<std::string>();
-        f.done();
-        return to.status(text);
-    }
-    case Kind::effect: {
-        auto allowed = f.get<bool>(), done = f.get<bool>();
-        auto text = f.get<std::string>();
-        f.done();
-        return to.effect(allowed, done, text);
-    }
+    case Kind::edge_hello: expect_protocol(f); return hear(f, to, &Heard::edge_hello);
+    case Kind::renew: return hear(f, to, &Heard::renew);
+    case Kind::ask: return hear(f, to, &Heard::ask);
+    case Kind::serve: return hear(f, to, &Heard::serve);
+    case Kind::witness: return hear(f, to, &Heard::witness);
+    case Kind::superseded: return hear(f, to, &Heard::superseded);
+    case Kind::node_hello:
+        expect_protocol(f);
+        return hear(f, to, &Heard::node_hello, [](auto &, auto &, auto &, auto &, auto &, Time age) {
+            if (age < 0) throw std::runtime_error("expected an age of 0 or more");
+        });
+    case Kind::node_renew: return hear(f, to, &Heard::node_renew);
+    case Kind::ask_status: return hear(f, to, &Heard::status_asked);
+    case Kind::ask_drain:
+        return hear(f, to, &Heard::drain_asked, [](auto &, auto &, std::uint8_t how) {
+            if (how > 2) throw std::runtime_error("expected a drain asked, done or forced, 0 to 2");
+        });
+    case Kind::begins: return hear(f, to, &Heard::begins);
+    case Kind::node: return hear(f, to, &Heard::node);
+    case Kind::plan: return hear(f, to, &Heard::plan);
+    case Kind::volume: return hear(f, to, &Heard::volume);
+    case Kind::part: return hear(f, to, &Heard::part);
+    case Kind::no_node: return hear(f, to, &Heard::no_node);
+    case Kind::no_plan: return hear(f, to, &Heard::no_plan);
+    case Kind::no_volume: return hear(f, to, &Heard::no_volume);
+    case Kind::no_part: return hear(f, to, &Heard::no_part);
+    case Kind::ends: return hear(f, to, &Heard::ends);
+    case Kind::renewed: return hear(f, to, &Heard::renewed);
+    case Kind::node_told: return hear(f, to, &Heard::node_told);
+    case Kind::ask_witness: return hear(f, to, &Heard::witness_asked);
+    case Kind::status: return hear(f, to, &Heard::status);
+    case Kind::effect: return hear(f, to, &Heard::effect);
     }
     throw std::runtime_error("kind " + std::to_string(kind) + " is not known");
 }
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -86,7 +86,6 @@
 }
 Server::~Server() {
     loop_.at_end(nullptr);
-    for (auto &[id, s] : conns_) s->close(true);
     try {
         store_->close();
     } catch (const std::exception &e) {
@@ -105,10 +104,10 @@
         registration_->start(loop::now(), static_cast<std::uint64_t>(disk_->started()), disk_->started());
     listener_ = std::make_unique<loop::Listener>(loop_, address_, [this](std::shared_ptr<loop::Socket> s) {
         ConnId conn{++next_conn_};
-        conns_[conn] = s;
+        conns_.add(conn, s);
         s->on_bytes = [this, conn](std::string_view in) { disk_->bytes(loop::now(), conn, in); };
         s->on_gone = [this, conn] {
-            conns_.erase(conn);
+            conns_.remove(conn);
             disk_->gone(loop::now(), conn);
         };
         s->start();
@@ -116,14 +115,10 @@
     });
     address_ = listener_->address(); // the same port again after a restart
 }
-void Server::send(ConnId conn, std::string bytes) {
-    if (auto it = conns_.find(conn); it != conns_.end()) it->second->send(std::move(bytes)), out_.insert(conn);
-}
+void Server::send(ConnId conn, std::string bytes) { conns_.send(conn, std::move(bytes)); }
 void Server::close(ConnId conn, bool reset) {
-    auto it = conns_.find(conn);
-    if (it == conns_.end()) return;
-    auto s = it->second;
-    conns_.erase(it);
+    auto s = conns_.remove(conn);
+    if (!s) return;
     if (reset)
         s->close(true);
     else
@@ -139,11 +134,7 @@
         registration_->tick(loop::now());
         planner_->flush();
     }
-    for (auto conn : std::exchange(out_, {}))
-        if (auto it = conns_.find(conn); it != conns_.end()) {
-            auto s = it->second;
-            s->flush();
-        }
+    conns_.flush();
     return registration_ ? std::min(disk_->next_due(), registration_->next_due()) : disk_->next_due();
 }
 
--- a/src/node/server.hpp
+++ b/src/node/server.hpp
@@ -1,12 +1,11 @@
 // A stand-in node on sockets: the disk's shell.
 #pragma once
 
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "loop/loop.hpp"
+#include "loop/sockets.hpp"
 #include "loop/dialled.hpp"
 #include "node/disk.hpp"
 #include "node/registration.hpp"
@@ -49,8 +48,7 @@
     std::unique_ptr<loop::Dialled> planner_;
     std::unique_ptr<Registration> registration_; // with a planner
     std::uint64_t next_conn_ = 0;
-    std::map<ConnId, std::shared_ptr<loop::Socket>> conns_;
-    std::set<ConnId> out_;
+    loop::Sockets<ConnId> conns_;
 };
 
 } // namespace knotvane::node
--- a/src/planner/server.cpp
+++ b/src/planner/server.cpp
@@ -56,10 +56,10 @@
     watch_ = std::make_unique<loop::Watch>(loop_, fleet_path_, [this] { read_at_ = loop::now() + still_for; });
     listener_ = std::make_unique<loop::Listener>(loop_, listen, [this](std::shared_ptr<loop::Socket> s) {
         SideId id{++next_side_};
-        sides_[id] = s;
+        sides_.add(id, s);
         s->on_bytes = [this, id](std::string_view in) { core_->bytes(loop::now(), id, in); };
         s->on_gone = [this, id] {
-            sides_.erase(id);
+            sides_.remove(id);
             core_->gone(loop::now(), id);
         };
         s->start();
@@ -73,7 +73,6 @@
 }
 Server::~Server() {
     loop_.at_end(nullptr);
-    for (auto &[id, s] : sides_) s->close(true);
 }
 
 void Server::read_fleet_file() {
@@ -104,22 +103,14 @@
         read_fleet_file();
     }
     core_->settle(now);
-    for (auto id : std::exchange(out_, {}))
-        if (auto it = sides_.find(id); it != sides_.end()) {
-            auto s = it->second;
-            s->flush();
-        }
+    sides_.flush();
     return std::min(read_at_, core_->next_due());
 }
 
-void Server::send(SideId id, std::string bytes) {
-    if (auto it = sides_.find(id); it != sides_.end()) it->second->send(std::move(bytes)), out_.insert(id);
-}
+void Server::send(SideId id, std::string bytes) { sides_.send(id, std::move(bytes)); }
 void Server::close(SideId id) {
-    auto it = sides_.find(id);
-    if (it == sides_.end()) return;
-    auto s = it->second;
-    sides_.erase(it);
+    auto s = sides_.remove(id);
+    if (!s) return;
     s->close_when_sent();
     // Told later: this may come in the middle of the side's own bytes.
     loop_.post([this, id] { core_->gone(loop::now(), id); });
--- a/src/planner/server.hpp
+++ b/src/planner/server.hpp
@@ -2,12 +2,11 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "loop/loop.hpp"
+#include "loop/sockets.hpp"
 #include "planner/core.hpp"
 #include "planner/files.hpp"
 #include "planner/store.hpp"
@@ -44,8 +43,7 @@
     std::unique_ptr<loop::Listener> listener_;
     std::unique_ptr<loop::Watch> watch_;
     std::uint64_t next_side_ = 0;
-    std::map<SideId, std::shared_ptr<loop::Socket>> sides_;
-    std::set<SideId> out_;
+    loop::Sockets<SideId> sides_;
 };
 
 } // namespace knotvane::planner
--- a/tests/gateway/door_test.cpp
+++ b/tests/gateway/door_test.cpp
@@ -1,6 +1,7 @@
 // Overload at the door: very many connections and requests keep memory under its bound, and all are answered.
 #include <doctest/doctest.h>
 
+#include "day/unhearing.hpp"
 #include "edge/core.hpp"
 #include "load/session.hpp"
 #include "nbd/wire.hpp"
@@ -87,34 +88,9 @@
     CHECK(shell.held.empty());
 }
 TEST_CASE("a client that leaves is told to the decisions once, however much it had at work") {
-    struct Counting final : Scheduler {
+    struct Counting final : day::Unhearing {
         int left = 0, others = 0;
-        void set_place(PeerId, std::uint32_t, ZoneId) override {}
-        void set_clock(Time, Time) override {}
-        void add_workload(WorkloadId, Time, Time, double, double) override {}
-        void set_repeat(WorkloadId, Repeat, Group, Time) override {}
-        void set_turns(WorkloadId, Time) override {}
-        void add_plan(PlanId, double, double, double, double) override {}
-        void set_limit(PlanId, double, double) override {}
-        void set_units(double, double, double, double) override {}
-        void set_shots(std::uint32_t, bool, bool) override {}
-        void set_further_shots(double, double, Time) override {}
-        void set_denials(Time) override {}
-        void set_clients(bool) override {}
-        void set_list(bool, Time, Time) override {}
-        void set_cold(double, Time, Time, double) override {}
-        void ready(Time) override {}
-        void list_begins(Time, ListKind) override {}
-        void node_listed(NodeId, ShardId, ZoneId, NodeState, Time) override {}
-        void list_ends() override {}
-        void list_failed(Time) override {}
-        void task_taken(Time, TaskId, WorkloadId, VolumeId, PlanId, ShardId, KeyId, double, double, bool, bool,
-                        Time) override {}
-        void shot_ended(Time, TaskId, ShotId, NodeId, Outcome, Time, bool, double, double,
-                        std::span<const float>) override {}
         void task_withdrawn(Time, TaskId, bool by_client) override { ++(by_client ? left : others); }
-        void alarm(Time, AlarmId) override {}
-        void settle(Time) override {}
     };
     Closed shell;
     Counting *counted = nullptr;
