--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -47,7 +47,8 @@
                                   shard, {}));
     }
     bool frame(frames::Kind kind, std::uint8_t, frames::Status, std::uint64_t t, VolumeId, std::uint64_t,
-               std::uint32_t, std::uint32_t, std::uint64_t, std::uint64_t, Time, ShardId, std::string_view) override {
+               std::uint32_t, std::uint32_t, std::uint64_t, std::uint64_t, Time, ShardId, std::string_view,
+               std::uint32_t) override {
         if (kind == frames::Kind::welcome) {
             for (std::size_t i = 0; i < flying; ++i) ask();
             return true;
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -19,10 +19,11 @@
 
   package_tests(nbd SOURCES tests/nbd/server_test.cpp LIBS knotvane_nbd)
   package_tests(store SOURCES tests/store/store_test.cpp LIBS knotvane_store)
-  package_tests(node SOURCES tests/node/node_test.cpp LIBS knotvane_node)
+  package_tests(node SOURCES tests/node/node_test.cpp tests/node/cuts_test.cpp LIBS knotvane_node)
   package_tests(sim SOURCES tests/sim/sim_test.cpp LIBS knotvane_sim)
   package_tests(planning SOURCES tests/sim/planning_test.cpp LIBS knotvane_sim_planning)
-  package_tests(planner SOURCES tests/planner/planner_test.cpp tests/planner/store_test.cpp
+  package_tests(cutting SOURCES tests/sim/cutting_test.cpp LIBS knotvane_sim_cutting)
+  package_tests(planner SOURCES tests/planner/planner_test.cpp tests/planner/store_test.cpp tests/planner/cuts_test.cpp
                 LIBS knotvane_planner_server PkgConfig::sqlite)
   add_executable(nbd_fuzz_fixed tests/fuzz/nbd_fuzz.cpp tests/fuzz/run_fixed.cpp)
   target_link_libraries(nbd_fuzz_fixed PRIVATE knotvane_nbd)
@@ -34,11 +35,11 @@
 if(KNOTVANE_PROGRAM)
   pkg_check_modules(nbd REQUIRED IMPORTED_TARGET libnbd)
   package_tests(gateway SOURCES tests/gateway/libnbd_test.cpp tests/gateway/day_test.cpp tests/gateway/door_test.cpp
-                tests/gateway/planner_test.cpp
+                tests/gateway/planner_test.cpp tests/gateway/snapshot_test.cpp
                 LIBS knotvane_day PkgConfig::nbd nlohmann_json::nlohmann_json)
   add_dependencies(gateway_tests knotvane-planner)
 endif()
 if(KNOTVANE_PROGRAM)
-  package_tests(edge SOURCES tests/edge/edge_test.cpp tests/edge/subscription_test.cpp LIBS knotvane_edge_settings knotvane_load)
-  package_tests(rules SOURCES tests/rules/rules_test.cpp LIBS knotvane_figures knotvane_load)
+  package_tests(edge SOURCES tests/edge/edge_test.cpp tests/edge/subscription_test.cpp tests/edge/cuts_test.cpp LIBS knotvane_edge_settings knotvane_load)
+  package_tests(rules SOURCES tests/rules/rules_test.cpp tests/rules/history_test.cpp LIBS knotvane_figures knotvane_load)
 endif()
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -12,6 +12,7 @@
 void add_load(CLI::App &app, int &code);
 void add_days(CLI::App &app, int &code);
 void add_planner(CLI::App &app, int &code);
+void add_snapshots(CLI::App &app, int &code);
 void add_store(CLI::App &app, int &code);
 
 } // namespace knotvane::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -23,6 +23,7 @@
     cli::add_load(app, code);
     cli::add_days(app, code);
     cli::add_planner(app, code);
+    cli::add_snapshots(app, code);
     cli::add_store(app, code);
     app.parse_complete_callback([&] { log::start(level, json); });
     try {
--- a/src/cli/planner.cpp
+++ b/src/cli/planner.cpp
@@ -4,8 +4,6 @@
 #include <unistd.h>
 
 #include <cstdio>
-#include <exception>
-#include <functional>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -13,22 +11,15 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include "cli/operators.hpp"
 #include "planner/visitor.hpp"
 
 namespace knotvane::cli {
 namespace {
 
-constexpr const char *default_planner = "127.0.0.1:10810";
 // A planner that does not answer an operator in this time is down or paused.
 constexpr Time patience = 3 * sec;
 
-std::string ago(std::int64_t ms_ago) {
-    if (ms_ago < 0) return "-";
-    if (ms_ago < 10'000) return std::to_string(ms_ago) + "ms";
-    if (ms_ago < 600'000) return std::to_string(ms_ago / 1000) + "s";
-    return std::to_string(ms_ago / 60'000) + "min";
-}
-
 void table(const nlohmann::json &s) {
     auto u = [](const nlohmann::json &v) { return v.is_null() ? std::string("-") : v.dump(); };
     std::printf("planner: term %s, version %s, settings %s, up %s, %s volumes\n", u(s["term"]).c_str(),
@@ -82,16 +73,6 @@
     return done ? 0 : 1;
 }
 
-// A planner that does not answer is a thing that fell short, not a wrong use.
-int visit(const std::function<int()> &call) {
-    try {
-        return call();
-    } catch (const std::exception &e) {
-        std::fprintf(stderr, "%s\n", e.what());
-        return 1;
-    }
-}
-
 } // namespace
 
 void add_planner(CLI::App &app, int &code) {
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -66,7 +66,11 @@
     }
     std::optional<VolumeId> find(std::string_view name) const {
         auto &names = core.table_->names;
-        auto it = name.empty() ? names.begin() : names.find(name);
+        auto it = names.find(name);
+        // The first by name; never a snapshot or a clone, which come and go.
+        if (name.empty())
+            it = std::find_if(names.begin(), names.end(),
+                              [&](auto &n) { return !core.table_->volumes.at(n.second).is_cut(); });
         if (it == names.end()) return std::nullopt;
         return it->second;
     }
@@ -81,6 +85,7 @@
         // A flush here reaches what this edge wrote, on any connection; what another edge wrote it can't know.
         auto part = core.table_->parts.find(*found);
         if (part != core.table_->parts.end() && part->second.hosts == 1) flags |= nbd::can_multi_conn;
+        if (v.frozen) flags = nbd::read_only | nbd::send_flush | nbd::send_df | nbd::send_cache | nbd::can_multi_conn;
         return true;
     }
     void opened(std::string_view name) override {
@@ -121,7 +126,8 @@
       layout_(extent, span, std::move(shards)), id_(id),
       // Marks are told apart by this: with the start alone, two edges started at once would share their marks,
       // and a node would drop one's writes as repeats of the other's.
-      life_(mix(id, life)), unit_(unit) {
+      life_(mix(id, life)), unit_(unit),
+      cuts_([this](VolumeId as, facts::CutStep step) { shell_.cut_told(as, step, facts::EdgeLife{life_}); }) {
     set_links(1, sec, sec, 60 * sec, 1 << 20);
 }
 Core::~Core() = default;
@@ -135,20 +141,40 @@
 }
 void Core::add_volume(VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least, PlanId plan,
                       std::uint32_t hosts) {
-    own_.put(id, facts::Volume{name, size, least, plan});
+    facts::Volume v;
+    v.name = name, v.size = size, v.least = least, v.plan = plan;
+    own_.put(id, std::move(v));
     own_.put(id, facts::Part{facts::whole_limit / hosts, hosts});
 }
 Core::Volume &Core::open_volume(VolumeId id) {
     auto &v = opened_[id];
     v.id = id;
     follow_facts(v);
-    if (++v.clients == 1) shell_.volume_used(id, true);
+    if (++v.clients == 1) {
+        use(id, true);
+        if (v.charge != id) use(v.charge, true);
+    }
     return v;
 }
+// What is charged to a volume needs its part of the limit, too.
+void Core::use(VolumeId id, bool on) {
+    auto &n = used_[id];
+    if (on ? n++ == 0 : --n == 0) shell_.volume_used(id, on);
+    if (n == 0) used_.erase(id);
+}
 void Core::follow_facts(Volume &v) {
-    // One that is gone from the table stays as it was for the clients that have it.
-    if (auto it = table_->volumes.find(v.id); it != table_->volumes.end()) v.plan = it->second.plan;
-    if (auto it = table_->parts.find(v.id); it != table_->parts.end()) v.hosts = std::max(1u, it->second.hosts);
+    // One that is gone from the table stays as it was for the clients that have it, but for a snapshot or a clone,
+    // whose bytes are gone, too.
+    if (v.charge == VolumeId{}) v.charge = v.place = v.id;
+    if (auto it = table_->volumes.find(v.id); it != table_->volumes.end()) {
+        auto &f = it->second;
+        v.plan = f.plan, v.place = f.lies_as(v.id), v.charge = f.charged_to(v.id);
+        v.is_cut = f.is_cut(), v.frozen = f.frozen, v.gone = false;
+        cuts_.learn(v.id, f.epoch);
+    } else {
+        v.gone = v.is_cut;
+    }
+    if (auto it = table_->parts.find(v.charge); it != table_->parts.end()) v.hosts = std::max(1u, it->second.hosts);
 }
 void Core::facts_changed(Time now) {
     now_ = now;
@@ -249,7 +275,10 @@
     touched_.erase(id);
     clients_.erase(it);
     shell_.close_client(id);
-    if (volume && --volume->clients == 0) shell_.volume_used(volume->id, false);
+    if (volume && --volume->clients == 0) {
+        use(volume->id, false);
+        if (volume->charge != volume->id) use(volume->charge, false);
+    }
 }
 
 // Past the bounds no client is read from, until enough has gone that reading does not stop and start all the time.
@@ -265,13 +294,13 @@
 // ---- Requests become tasks.
 RequestNo Core::open(Client &c, nbd::RequestId id, Command command, std::size_t bytes) {
     RequestNo no{++next_request_};
-    requests_[no] = {c.id, id, command, bytes, false, {}, 0};
+    requests_[no] = {c.id, id, command, bytes, false, {}};
     c.requests.insert(no);
     bytes_ += bytes;
     return no;
 }
 
-void Core::take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key) {
+void Core::take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key, Time came) {
     auto is_for = [&](const std::string &volume) {
         auto it = table_->names.find(volume);
         return volume.empty() || (it != table_->names.end() && it->second == c.volume->id);
@@ -287,48 +316,77 @@
     bool writes = command == Command::write || command == Command::zero;
     work->number = id.value;
     work->numbered = writes && w->window > 0;
-    Time until = now_ + w->client_timeout;
+    Time until = came + w->client_timeout;
+    work->cut = c.volume->is_cut;
     requests_.at(no).tasks.insert(id);
     auto shard = work->shard;
     auto units = work->units;
     tasks_[id] = {no, false, std::move(work), until, w->window, {}, {}, 0};
-    scheduler_->task_taken(now_, id, w->id, c.volume->id, c.volume->plan, shard, key, units, c.volume->hosts, writes,
+    scheduler_->task_taken(now_, id, w->id, c.volume->charge, c.volume->plan, shard, key, units, c.volume->hosts, writes,
                            false, until);
     stirred_ = true;
 }
 
+bool Core::is_gone(Client &c, nbd::RequestId id) {
+    if (c.volume->gone) c.session.fail(id, nbd::e_shutdown, "denied: the snapshot or clone was dropped");
+    return c.volume->gone;
+}
+
 void Core::read(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length) {
+    if (is_gone(c, id)) return;
     auto no = open(c, id, Command::read, length);
     while (length > 0 && requests_.contains(no)) {
         auto n = layout_.cut(offset, length, false);
         take(no, c, Command::read,
              std::make_shared<Work>(Work{frames::Kind::read, c.volume->id,
-                                         layout_.shard_of(c.volume->id, offset), offset, n,
+                                         layout_.shard_of(c.volume->place, offset), offset, n,
                                          1 + static_cast<double>(n) / static_cast<double>(unit_), false, 0, false, 0, {}}),
-             layout_.key_of(c.volume->id, offset));
+             layout_.key_of(c.volume->id, offset), now_);
         offset += n, length -= n;
     }
 }
 
 void Core::change(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length,
                   std::string_view data, bool zeroes, bool fua) {
+    if (is_gone(c, id)) return;
+    auto no = open(c, id, zeroes ? Command::zero : Command::write, data.size());
+    if (cuts_.holding(c.volume->id))
+        kept_[c.volume->id].push_back({no, offset, length, std::string(data), zeroes, fua, now_});
+    else
+        begin_change(no, c, offset, length, data, zeroes, fua, now_);
+}
+void Core::begin_change(RequestNo no, Client &c, std::uint64_t offset, std::uint32_t length, std::string_view data,
+                        bool zeroes, bool fua, Time came) {
     auto command = zeroes ? Command::zero : Command::write;
-    auto no = open(c, id, command, data.size());
+    auto &v = *c.volume;
+    auto epoch = cuts_.begins(v.id);
+    {
+        auto &r = requests_.at(no);
+        r.begun = true, r.epoch = epoch, r.volume = v.id;
+    }
+    if (v.own_epoch != epoch) v.own.clear(), v.own_epoch = epoch;
     while (length > 0 && requests_.contains(no)) {
         auto n = layout_.cut(offset, length, true);
         // Zeroes cost a node little, whatever their length.
         double units = zeroes ? 1 : 1 + static_cast<double>(n) / static_cast<double>(unit_);
-        take(no, c, command,
-             std::make_shared<Work>(Work{zeroes ? frames::Kind::zero : frames::Kind::write, c.volume->id,
-                                         layout_.shard_of(c.volume->id, offset), offset, n, units, fua, 0, false, 0,
-                                         std::string(data.substr(0, zeroes ? 0 : n))}),
-             layout_.key_of(c.volume->id, offset));
+        if (copy_ > 0 && (epoch > 0 || v.is_cut)) {
+            auto span = layout_.span_of(offset);
+            if (v.own.size() <= span) v.own.resize(span + 1);
+            if (!v.own[span]) v.own[span] = true, units += copy_;
+        }
+        ++requests_.at(no).parts;
+        auto work = std::make_shared<Work>(Work{zeroes ? frames::Kind::zero : frames::Kind::write, v.id,
+                                                layout_.shard_of(v.place, offset), offset, n, units, fua, 0, false, 0,
+                                                std::string(data.substr(0, zeroes ? 0 : n))});
+        work->epoch = epoch;
+        take(no, c, command, std::move(work), layout_.key_of(v.id, offset), came);
         if (!zeroes) data.remove_prefix(n);
         offset += n, length -= n;
     }
 }
 
 void Core::flush(Client &c, nbd::RequestId id) {
+    if (is_gone(c, id)) return;
     auto no = open(c, id, Command::flush, 0);
     auto &r = requests_.at(no);
     r.mark = c.volume->unflushed.mark();
@@ -338,23 +396,81 @@
         if (requests_.contains(no))
             take(no, c, Command::flush,
                  std::make_shared<Work>(Work{frames::Kind::flush, c.volume->id, shard, 0, 0, 1, false, 0, false, 0, {}}),
-                 no_key);
+                 no_key, now_);
 }
 
 void Core::status(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length) {
+    if (is_gone(c, id)) return;
     // An answer may be shorter than what was asked: the first extent's part is told.
     auto n = layout_.cut(offset, length, false);
     auto no = open(c, id, Command::status, 0);
     take(no, c, Command::status,
-         std::make_shared<Work>(Work{frames::Kind::status, c.volume->id, layout_.shard_of(c.volume->id, offset),
+         std::make_shared<Work>(Work{frames::Kind::status, c.volume->id, layout_.shard_of(c.volume->place, offset),
                                      offset, n, 1, false, 0, false, 0, {}}),
-         no_key);
+         no_key, now_);
+}
+
+// ---- Cuts.
+void Core::cut_hold(Time now, VolumeId of, VolumeId as, std::uint32_t epoch, Time longest) {
+    now_ = now;
+    cuts_.hold(now, of, as, epoch, longest);
+    let_go(); // of an earlier one
+}
+void Core::cut_go(Time now, VolumeId of, VolumeId as, std::uint32_t epoch) {
+    now_ = now;
+    cuts_.go(now, of, as, epoch);
+    let_go();
+}
+void Core::cut_release(Time now, VolumeId of, VolumeId as) {
+    now_ = now;
+    cuts_.release(of, as);
+    let_go();
+}
+void Core::planner_lost(Time now) {
+    now_ = now;
+    cuts_.alone();
+    let_go();
+}
+// Changes that were kept back begin, in the order in which they came.
+void Core::let_go() {
+    for (auto volume : cuts_.take_released()) {
+        if (cuts_.holding(volume)) continue;
+        auto it = kept_.find(volume);
+        if (it == kept_.end()) continue;
+        auto kept = std::move(it->second);
+        kept_.erase(it);
+        for (auto &k : kept) {
+            auto r = requests_.find(k.no);
+            if (r == requests_.end()) continue; // its client left
+            begin_change(k.no, *clients_.at(r->second.client), k.offset, k.length, k.data, k.zeroes, k.fua, k.came);
+        }
+    }
+}
+// A store has cut without a change that began here before. True where the change goes on, in the epoch in force: a
+// change of one part is in or out as a whole whatever becomes of it, and so is one of which no other part was sent.
+bool Core::outdated(Task &t, const ShotOver &over) {
+    auto volume = t.work->volume;
+    cuts_.learn(volume, over.epoch);
+    let_go();
+    auto it = requests_.find(t.request);
+    if (it == requests_.end()) return false;
+    Request &r = it->second;
+    for (auto other : r.tasks)
+        if (other != over.task && !tasks_.at(other).shots.empty()) return false;
+    if (r.some_done) return false;
+    auto epoch = cuts_.epoch(volume);
+    if (epoch <= r.epoch) return true; // said twice
+    auto old = std::exchange(r.epoch, epoch);
+    cuts_.begins(volume);
+    cuts_.over(volume, old);
+    for (auto task : r.tasks) tasks_.at(task).work->epoch = epoch;
+    return true;
 }
 
 // ---- Outcomes and ends.
 void Core::shot_over(Time, TaskId task, ShotId shot, NodeId node, Outcome how, frames::Status status,
-                     std::uint64_t life, std::string_view payload) {
-    overs_.push_back({task, shot, node, how, status, life, std::string(payload)});
+                     std::uint64_t life, std::string_view payload, std::uint32_t epoch) {
+    overs_.push_back({task, shot, node, how, status, life, std::string(payload), epoch});
 }
 void Core::say(std::string text) { shell_.say(std::move(text)); }
 
@@ -362,7 +478,7 @@
     auto &t = tasks_.at(id);
     auto node = t.shots[shot.value];
     if (t.ended) { // by another part of its request, in the same moment
-        overs_.push_back({id, shot, node, Outcome::unsent, {}, 0, {}});
+        overs_.push_back({id, shot, node, Outcome::unsent, {}, 0, {}, 0});
         return;
     }
     Time until = time_out > 0 ? std::min(now_ + time_out, t.client_timeout) : t.client_timeout;
@@ -386,6 +502,7 @@
 void Core::close_request(RequestNo no) {
     auto it = requests_.find(no);
     bytes_ -= std::min(it->second.bytes, bytes_);
+    if (it->second.begun) cuts_.over(it->second.volume, it->second.epoch);
     if (auto c = clients_.find(it->second.client); c != clients_.end()) {
         c->second->requests.erase(no);
         touched_.insert(c->first);
@@ -495,10 +612,24 @@
         Time took = now_ - t.sent[over.shot.value];
         shell_.shot_ended(over.task, over.node, over.how, took);
         bool was_ended = t.ended;
+        // Final words of a node on a change that was not done, and of which another shot would hear the same.
+        const char *refused = nullptr;
+        std::uint32_t error = nbd::e_io;
+        if (!was_ended && over.status == frames::Status::stale && !outdated(t, over))
+            refused = "errored: a snapshot was taken in the middle of it; a part may have been done";
+        if (!was_ended && over.status == frames::Status::no_space)
+            refused = "errored: no space is left at its storage node", error = nbd::e_nospc;
         // The decisions hear of the outcome before the answer leaves: what leaves may bring the next request.
-        scheduler_->shot_ended(now_, over.task, over.shot, over.node, over.how, took, was_ended || well, -1, 0, {});
+        scheduler_->shot_ended(now_, over.task, over.shot, over.node, over.how, took,
+                               was_ended || well || refused, -1, 0, {});
         stirred_ = true;
-        if (well && !was_ended) {
+        if (refused) {
+            ++errored_;
+            auto no = t.request;
+            std::uint64_t where = t.work->offset;
+            end_task(over.task, t);
+            fail_request(no, error, refused, where);
+        } else if (well && !was_ended) {
             ++delivered_;
             delivered(t, over);
             auto no = t.request;
@@ -522,7 +653,7 @@
 }
 
 Time Core::next_due() const {
-    Time due = links_->next_due();
+    Time due = std::min(links_->next_due(), cuts_.next_due());
     for (auto &[id, at] : alarms_) due = std::min(due, at);
     if (stirred_ || !overs_.empty() || !deeds_->waiting.empty()) due = std::min(due, now_);
     return due;
@@ -530,6 +661,8 @@
 
 void Core::settle(Time now) {
     now_ = now;
+    cuts_.tick(now);
+    let_go();
     links_->tick(now);
     for (auto it = alarms_.begin(); it != alarms_.end();)
         if (it->second <= now) {
--- a/src/edge/core.hpp
+++ b/src/edge/core.hpp
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "edge/cuts.hpp"
 #include "edge/ids.hpp"
 #include "edge/layout.hpp"
 #include "edge/links.hpp"
@@ -39,6 +40,8 @@
     virtual void shot_ended(TaskId task, NodeId node, Outcome how, Time took) = 0;
     // A volume has its first client here, or lost its last.
     virtual void volume_used(VolumeId, bool) {}
+    // A step of a cut, for the planner.
+    virtual void cut_told(VolumeId /*as*/, facts::CutStep, facts::EdgeLife) {}
 };
 
 // The kinds of command that a workload can be for.
@@ -59,6 +62,8 @@
     // `flying`: requests at work a client; `request`: bytes of one; `tasks`, `bytes`: of all clients together,
     // past which no client is read from.
     void set_door(std::uint32_t flying, std::uint32_t request, std::size_t tasks, std::size_t bytes);
+    // Units more for the first write to a span after a snapshot, which the node does to a copy.
+    void set_copy(double units) { copy_ = units; }
     // `least`: bytes that requests are aligned to. `hosts`: edges that serve it.
     void add_volume(VolumeId id, const std::string &name, std::uint64_t size, std::uint32_t least, PlanId plan,
                     std::uint32_t hosts);
@@ -77,6 +82,12 @@
     // This edge's part of a volume's limit is one over `hosts`; endless for none.
     void part_told(Time now, VolumeId volume, double hosts);
 
+    // The planner's word on a cut: see Cuts.
+    void cut_hold(Time now, VolumeId of, VolumeId as, std::uint32_t epoch, Time longest);
+    void cut_go(Time now, VolumeId of, VolumeId as, std::uint32_t epoch);
+    void cut_release(Time now, VolumeId of, VolumeId as);
+    void planner_lost(Time now);
+
     // The list of nodes, as a whole: begin, a call for each node, end. A version that is not above the last
     // one is not taken (false).
     bool list_begins(Time now, std::uint64_t version);
@@ -108,6 +119,7 @@
     std::uint64_t denied() const { return denied_; }
     std::uint64_t errored() const { return errored_; }
     std::uint64_t version() const { return version_; }
+    std::uint64_t life() const { return life_; } // as nodes know it
 
   private:
     struct Client;
@@ -119,6 +131,11 @@
         std::uint32_t hosts = 1;
         std::size_t clients = 0;
         Unflushed unflushed;
+        VolumeId place, charge; // where its bytes lie, whose share its tasks are of
+        bool is_cut = false, frozen = false, gone = false;
+        // Spans written in this epoch: their blocks are its own.
+        std::vector<bool> own{};
+        std::uint32_t own_epoch = 0;
     };
     struct WorkloadFor {
         WorkloadId id;
@@ -135,6 +152,20 @@
         bool some_done = false;
         std::set<TaskId> tasks; // not ended yet
         std::uint64_t mark = 0; // of a flush
+        // Of a change that has begun: its epoch, and how many parts it has.
+        bool begun = false;
+        std::uint32_t epoch = 0;
+        std::size_t parts = 0;
+        VolumeId volume{};
+    };
+    // A change that came while none may begin.
+    struct Kept {
+        RequestNo no;
+        std::uint64_t offset;
+        std::uint32_t length;
+        std::string data;
+        bool zeroes, fua;
+        Time came;
     };
     struct Task {
         RequestNo request;
@@ -153,19 +184,26 @@
         frames::Status status;
         std::uint64_t life;
         std::string payload;
+        std::uint32_t epoch;
     };
 
     // From sessions.
     void read(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length);
     void change(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length, std::string_view data,
                 bool zeroes, bool fua);
+    void begin_change(RequestNo no, Client &c, std::uint64_t offset, std::uint32_t length, std::string_view data,
+                      bool zeroes, bool fua, Time came);
+    void let_go();
+    bool is_gone(Client &c, nbd::RequestId id);
     void flush(Client &c, nbd::RequestId id);
     void status(Client &c, nbd::RequestId id, std::uint64_t offset, std::uint32_t length);
     RequestNo open(Client &c, nbd::RequestId id, Command command, std::size_t bytes);
-    void take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key);
+    void take(RequestNo no, Client &c, Command command, std::shared_ptr<Work> work, KeyId key, Time came);
+    bool outdated(Task &t, const ShotOver &over);
+    void use(VolumeId id, bool on);
     // From links.
     void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, frames::Status status,
-                   std::uint64_t life, std::string_view payload) override;
+                   std::uint64_t life, std::string_view payload, std::uint32_t epoch) override;
     void say(std::string text) override;
 
     void do_shot(TaskId task, ShotId shot, Time time_out);
@@ -197,6 +235,10 @@
     facts::Table own_; // of settings; unused where a planner tells
     const facts::Table *table_ = &own_;
     std::map<VolumeId, Volume> opened_;
+    std::map<VolumeId, std::size_t> used_; // by clients, of the volume itself or of what its share pays for
+    Cuts cuts_;
+    std::map<VolumeId, std::deque<Kept>> kept_;
+    double copy_ = 0;
     std::vector<WorkloadFor> workloads_;
     std::map<ClientId, std::unique_ptr<Client>> clients_;
     std::map<RequestNo, Request> requests_;
--- a/src/edge/layout.hpp
+++ b/src/edge/layout.hpp
@@ -21,6 +21,7 @@
     // The key of the span that a byte lies in, never no_key. Writes are cut at spans, so two that overlap have a
     // key in common, equal ranges or not: order by key then keeps them apart.
     KeyId key_of(VolumeId volume, std::uint64_t offset) const;
+    std::size_t span_of(std::uint64_t offset) const { return static_cast<std::size_t>(offset / span_); }
     // How many bytes of a range, from its start, go into one task.
     std::uint32_t cut(std::uint64_t offset, std::uint64_t length, bool writes) const;
     const std::vector<ShardId> &shards() const { return shards_; }
--- a/src/edge/links.cpp
+++ b/src/edge/links.cpp
@@ -29,7 +29,7 @@
     Link(Links &l, LinkId i, NodeId n, Time t) : links(l), id(i), node(n), since(t), heard(t) {}
     bool frame(frames::Kind kind, std::uint8_t, frames::Status status, std::uint64_t tag, VolumeId,
                std::uint64_t, std::uint32_t, std::uint32_t, std::uint64_t store_life, std::uint64_t,
-               Time clock, ShardId, std::string_view payload) override {
+               Time clock, ShardId, std::string_view payload, std::uint32_t epoch) override {
         if (kind == frames::Kind::welcome && stage == Stage::greeting) {
             if (NodeId{tag} != node) {
                 fault = "node " + std::to_string(tag) + " answers where node " + std::to_string(node.value) +
@@ -50,11 +50,11 @@
         Outcome how = status == frames::Status::ok             ? Outcome::answered
                       : status == frames::Status::full         ? Outcome::full
                       : status == frames::Status::called_off   ? Outcome::called_off
-                      : status == frames::Status::too_late ||
+                      : status == frames::Status::too_late || status == frames::Status::stale ||
                               status == frames::Status::misdirected
                           ? Outcome::unsent // the node proves that it did not run and never will
                           : Outcome::error;
-        links.end(now, tag, how, status, store_life, payload);
+        links.end(now, tag, how, status, store_life, payload, epoch);
         return true;
     }
 };
@@ -130,10 +130,11 @@
         link.pending.pop_front();
         Shot &s = shots_.at(tag);
         const Work &w = *s.work;
-        auto flags = (w.durable ? frames::flag_durable : 0) | (w.numbered ? frames::flag_numbered : 0);
+        auto flags = (w.durable ? frames::flag_durable : 0) | (w.numbered ? frames::flag_numbered : 0) |
+                     (w.cut ? frames::flag_cut : 0);
         auto bytes = frames::make(w.kind, static_cast<std::uint8_t>(flags), {}, tag, w.volume,
                                   w.offset, w.length, static_cast<std::uint32_t>(w.units * 1000), life_, w.number,
-                                  w.not_after > 0 ? w.not_after + link.clock_ahead : 0, w.shard, w.payload);
+                                  w.not_after > 0 ? w.not_after + link.clock_ahead : 0, w.shard, w.payload, w.epoch);
         link.out_bytes += bytes.size();
         s.out = true, s.sent = now;
         wires_.send(link.id, std::move(bytes));
@@ -141,7 +142,7 @@
 }
 
 void Links::end(Time now, std::uint64_t tag, Outcome how, frames::Status status, std::uint64_t life,
-                std::string_view payload) {
+                std::string_view payload, std::uint32_t epoch) {
     auto it = shots_.find(tag);
     if (it == shots_.end()) return;
     Shot s = std::move(it->second);
@@ -157,7 +158,7 @@
             watch_.insert({0, s.link});
         }
     }
-    told_.shot_over(now, s.task, s.shot, s.node, how, status, life, payload);
+    told_.shot_over(now, s.task, s.shot, s.node, how, status, life, payload, epoch);
 }
 
 void Links::close(Time now, LinkId id, Outcome sent, Outcome unsent, bool tell_wires) {
--- a/src/edge/links.hpp
+++ b/src/edge/links.hpp
@@ -32,6 +32,8 @@
     bool numbered;        // the number is a mark: repeats are dropped
     Time not_after;       // not to be done later, by the edge's clock; 0: whenever
     std::string payload;
+    std::uint32_t epoch = 0; // of the volume, when its request began
+    bool cut = false;        // the volume is a snapshot or a clone
 };
 
 // What links ask of the shell.
@@ -43,12 +45,12 @@
     virtual void close(LinkId link) = 0;
 };
 
-// What links tell. `life`: of the store that answered, 0 if none did.
+// What links tell. `life`: of the store that answered, 0 if none did; `epoch`: with a stale answer.
 class Told {
   public:
     virtual ~Told() = default;
     virtual void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, frames::Status status,
-                           std::uint64_t life, std::string_view payload) = 0;
+                           std::uint64_t life, std::string_view payload, std::uint32_t epoch) = 0;
     virtual void say(std::string text) = 0;
 };
 
@@ -100,7 +102,7 @@
     Link *choose(Time now, NodeId node);
     void pump(Time now, Link &link);
     void end(Time now, std::uint64_t tag, Outcome how, frames::Status status, std::uint64_t life,
-             std::string_view payload);
+             std::string_view payload, std::uint32_t epoch = 0);
     void close(Time now, LinkId link, Outcome sent, Outcome unsent, bool tell_wires);
 
     Wires &wires_;
--- a/src/edge/server.cpp
+++ b/src/edge/server.cpp
@@ -66,6 +66,15 @@
 void Server::volume_used(VolumeId volume, bool on) {
     if (subscription_) subscription_->volume_used(loop::now(), volume, on);
 }
+void Server::cut_told(VolumeId as, facts::CutStep step, facts::EdgeLife life) {
+    if (subscription_) subscription_->cut_told(as, step, life);
+}
+void Server::cut_hold(VolumeId of, VolumeId as, std::uint32_t epoch, Time longest) {
+    core_->cut_hold(loop::now(), of, as, epoch, longest);
+}
+void Server::cut_go(VolumeId of, VolumeId as, std::uint32_t epoch) { core_->cut_go(loop::now(), of, as, epoch); }
+void Server::cut_release(VolumeId of, VolumeId as) { core_->cut_release(loop::now(), of, as); }
+void Server::planner_lost() { core_->planner_lost(loop::now()); }
 void Server::part_told(VolumeId volume, double hosts) { core_->part_told(loop::now(), volume, hosts); }
 void Server::plan_taken(const facts::Table &table, bool nodes, bool plans, const std::map<NodeId, Time> &started) {
     if (plans)
--- a/src/edge/server.hpp
+++ b/src/edge/server.hpp
@@ -44,6 +44,7 @@
     void say(std::string text) override;
     void shot_ended(TaskId task, NodeId node, Outcome how, Time took) override;
     void volume_used(VolumeId volume, bool on) override;
+    void cut_told(VolumeId as, facts::CutStep step, facts::EdgeLife life) override;
     void dial() override { planner_->dial(); }
     void hang_up() override { planner_->hang_up(); }
     void send_planner(std::string bytes) override { planner_->send(std::move(bytes)); }
@@ -51,6 +52,10 @@
     void plan_taken(const facts::Table &table, bool nodes, bool plans,
                     const std::map<NodeId, Time> &started) override;
     void part_told(VolumeId volume, double hosts) override;
+    void cut_hold(VolumeId of, VolumeId as, std::uint32_t epoch, Time longest) override;
+    void cut_go(VolumeId of, VolumeId as, std::uint32_t epoch) override;
+    void cut_release(VolumeId of, VolumeId as) override;
+    void planner_lost() override;
 
   private:
     void take_list(const NodeList &list);
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -133,7 +133,8 @@
                              static_cast<double>(std::max<std::uint64_t>(1, layout.bytes("unit", 1)));
     double mean = units.number("mean", 0, any, 2), share = units.number("share_worth", 0, 1, 0.35),
            spare = units.number("spare_worth", 0, 1, 0.08);
-    if (to) to->set_units(mean, largest, share, spare);
+    double copy = units.number("copy", 0, any, 0);
+    if (to) to->set_units(mean, largest + copy, share, spare), core->set_copy(copy);
     Named named;
     // With a planner these come from it, and sections here would only contradict it.
     named.by_planner = edge.has("planner");
--- a/src/edge/subscription.cpp
+++ b/src/edge/subscription.cpp
@@ -91,12 +91,14 @@
     now_ = now;
     up_ = false, renew_at_ = never;
     redial_.lost(now);
+    line_.planner_lost();
 }
 void Subscription::leave(const std::string &why) {
     line_.say("planner: connection closed: " + why);
     line_.hang_up();
     up_ = false, renew_at_ = never;
     redial_.lost(now_, left);
+    line_.planner_lost();
 }
 void Subscription::send(std::string bytes) {
     if (up_) line_.send_planner(std::move(bytes));
--- a/src/edge/subscription.hpp
+++ b/src/edge/subscription.hpp
@@ -37,6 +37,11 @@
     virtual void plan_taken(const facts::Table &table, bool nodes, bool plans,
                             const std::map<NodeId, Time> &started) = 0;
     virtual void part_told(VolumeId volume, double hosts) = 0;
+    // Of a cut: see Cuts. Lost: nobody will end a hold.
+    virtual void cut_hold(VolumeId, VolumeId, std::uint32_t, Time) {}
+    virtual void cut_go(VolumeId, VolumeId, std::uint32_t) {}
+    virtual void cut_release(VolumeId, VolumeId) {}
+    virtual void planner_lost() {}
 };
 
 class Subscription final : facts::Heard {
@@ -52,6 +57,8 @@
     void bytes(Time now, std::string_view in);
     void volume_used(Time now, VolumeId volume, bool on);
     void shot_ended(Time now, NodeId node, Outcome how);
+    // A step of a cut, told on.
+    void cut_told(VolumeId as, facts::CutStep step, facts::EdgeLife life) { send(facts::tell_cut(as, step, 0, life)); }
 
     Time next_due() const;
     // Call before the decisions go on: a right that ran out while the edge stood still must not be used.
@@ -83,6 +90,15 @@
     void ends(facts::Version version, std::uint64_t count) override;
     void renewed(Time at, facts::Term term, Time lease, Time fade, facts::Version least) override;
     void witness_asked(NodeId node) override;
+    void cut_hold(VolumeId of, VolumeId as, std::uint32_t epoch, Time longest) override {
+        if (!from_disk_) line_.cut_hold(of, as, epoch, longest);
+    }
+    void cut_go(VolumeId of, VolumeId as, std::uint32_t epoch) override {
+        if (!from_disk_) line_.cut_go(of, as, epoch);
+    }
+    void cut_release(VolumeId of, VolumeId as) override {
+        if (!from_disk_) line_.cut_release(of, as);
+    }
     void unexpected(const char *what) override;
 
     void note(const std::string &bytes) { raw_ += bytes; }
--- a/src/facts/messages.cpp
+++ b/src/facts/messages.cpp
@@ -21,13 +21,15 @@
 
 enum class Kind : std::uint8_t {
     edge_hello = 1, renew, ask, serve, witness, superseded, node_hello, node_renew, ask_status, ask_drain,
+    ask_cut, tell_cut, tell_diff,
     begins = 20, node, plan, volume, part, no_node, no_plan, no_volume, no_part, ends, renewed, node_told, status,
-    effect, ask_witness,
+    effect, ask_witness, cut_hold, cut_go, cut_release, cut_open, cut_seal, cut_drop, cut_clone, ask_diff,
 };
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 template <class T> void pack(Packer &to, const T &field) { to.pack(field); }
 template <class K, class R> void pack(Packer &to, const Id<K, R> &id) { to.pack(id.value); }
+void pack(Packer &to, CutStep s) { to.pack(static_cast<std::uint8_t>(s)); }
 void pack(Packer &to, NodeState s) { to.pack(static_cast<std::uint8_t>(s)); }
 template <class K, class R> void pack(Packer &to, const std::vector<Id<K, R>> &ids) {
     to.pack_array(static_cast<std::uint32_t>(ids.size()));
@@ -73,7 +75,8 @@
         } else if constexpr (std::is_same_v<T, Volume>) {
             Volume v;
             v.name = take<std::string>(), v.size = take<std::uint64_t>(), v.least = take<std::uint32_t>();
-            v.plan = take<PlanId>();
+            v.plan = take<PlanId>(), v.place = take<VolumeId>(), v.charge = take<VolumeId>();
+            v.of = take<VolumeId>(), v.epoch = take<std::uint32_t>(), v.frozen = take<bool>(), v.taken = take<Time>();
             return v;
         } else if constexpr (std::is_same_v<T, Part>) {
             Part p;
@@ -103,6 +106,10 @@
             auto v = f.as<std::uint8_t>();
             if (v > static_cast<std::uint8_t>(NodeState::ready)) throw std::runtime_error("expected a state, 0 to 2");
             return static_cast<NodeState>(v);
+        } else if constexpr (std::is_same_v<T, CutStep>) {
+            auto v = f.as<std::uint8_t>();
+            if (v > static_cast<std::uint8_t>(CutStep::cloned)) throw std::runtime_error("expected a step, 0 to 7");
+            return static_cast<CutStep>(v);
         } else if constexpr (std::is_same_v<T, double>) {
             auto v = f.as<double>();
             if (!std::isfinite(v)) throw std::runtime_error("expected a finite number");
@@ -150,6 +157,26 @@
         return hear(f, to, &Heard::drain_asked, [](auto &, auto &, std::uint8_t how) {
             if (how > 2) throw std::runtime_error("expected a drain asked, done or forced, 0 to 2");
         });
+    case Kind::ask_cut:
+        return hear(f, to, &Heard::cut_asked, [](std::uint8_t what, auto &, auto &, auto &) {
+            if (what > 3) throw std::runtime_error("expected a snapshot taken, dropped, cloned or compared, 0 to 3");
+        });
+    case Kind::tell_cut:
+        return hear(f, to, &Heard::cut_told, [](auto &, auto &, std::uint8_t how, auto &) {
+            if (how > 4) throw std::runtime_error("expected how a cut went, 0 to 4");
+        });
+    case Kind::tell_diff:
+        return hear(f, to, &Heard::diff_told, [](auto &, auto &ranges, auto &) {
+            if (ranges.size() % 2 != 0) throw std::runtime_error("expected offsets and lengths in turn");
+        });
+    case Kind::cut_hold: return hear(f, to, &Heard::cut_hold);
+    case Kind::cut_go: return hear(f, to, &Heard::cut_go);
+    case Kind::cut_release: return hear(f, to, &Heard::cut_release);
+    case Kind::cut_open: return hear(f, to, &Heard::cut_open);
+    case Kind::cut_seal: return hear(f, to, &Heard::cut_seal);
+    case Kind::cut_drop: return hear(f, to, &Heard::cut_drop);
+    case Kind::cut_clone: return hear(f, to, &Heard::cut_clone);
+    case Kind::ask_diff: return hear(f, to, &Heard::diff_asked);
     case Kind::begins: return hear(f, to, &Heard::begins);
     case Kind::node: return hear(f, to, &Heard::node);
     case Kind::plan: return hear(f, to, &Heard::plan);
@@ -190,6 +217,29 @@
 std::string ask_drain(NodeId node, bool draining, std::uint8_t how) {
     return message(Kind::ask_drain, node, draining, how);
 }
+std::string ask_cut(std::uint8_t what, const std::string &name, const std::string &as, const std::string &plan) {
+    return message(Kind::ask_cut, what, name, as, plan);
+}
+std::string tell_cut(VolumeId as, CutStep step, std::uint8_t how, EdgeLife life) {
+    return message(Kind::tell_cut, as, step, how, life);
+}
+std::string tell_diff(std::uint64_t question, const std::vector<std::uint64_t> &ranges, bool more) {
+    return message(Kind::tell_diff, question, ranges, more);
+}
+std::string cut_hold(VolumeId of, VolumeId as, std::uint32_t epoch, Time longest) {
+    return message(Kind::cut_hold, of, as, epoch, longest);
+}
+std::string cut_go(VolumeId of, VolumeId as, std::uint32_t epoch) { return message(Kind::cut_go, of, as, epoch); }
+std::string cut_release(VolumeId of, VolumeId as) { return message(Kind::cut_release, of, as); }
+std::string cut_open(VolumeId of, VolumeId as, std::uint32_t epoch, const std::vector<EdgeLife> &late) {
+    return message(Kind::cut_open, of, as, epoch, late);
+}
+std::string cut_seal(VolumeId of, VolumeId as) { return message(Kind::cut_seal, of, as); }
+std::string cut_drop(VolumeId as) { return message(Kind::cut_drop, as); }
+std::string cut_clone(VolumeId of, VolumeId as) { return message(Kind::cut_clone, of, as); }
+std::string ask_diff(std::uint64_t question, VolumeId a, VolumeId b, std::uint64_t from) {
+    return message(Kind::ask_diff, question, a, b, from);
+}
 std::string begins(Term term, std::uint64_t instance, std::uint64_t lineage, Version version, Version from,
                    Time now) {
     return message(Kind::begins, term, instance, lineage, version, from, now);
@@ -201,7 +251,8 @@
     return message(Kind::plan, id, p.name, p.weight, p.usual, p.reserve, p.price, p.rate, p.burst);
 }
 std::string put(VolumeId id, const Volume &v) {
-    return message(Kind::volume, id, v.name, v.size, v.least, v.plan);
+    return message(Kind::volume, id, v.name, v.size, v.least, v.plan, v.place, v.charge, v.of, v.epoch, v.frozen,
+                   v.taken);
 }
 std::string put(VolumeId id, const Part &p) { return message(Kind::part, id, p.millionths, p.hosts); }
 std::string drop(NodeId id) { return message(Kind::no_node, id); }
--- a/src/facts/messages.hpp
+++ b/src/facts/messages.hpp
@@ -12,7 +12,7 @@
 
 namespace knotvane::facts {
 
-inline constexpr std::uint32_t protocol = 1;
+inline constexpr std::uint32_t protocol = 2;
 
 // What a side may hear; what it doesn't expect says so and the connection is closed.
 class Heard {
@@ -38,6 +38,18 @@
     virtual void status_asked() { unexpected("an ask for status"); }
     // `how`: 0 tell the effect only, 1 do it, 2 do it even where nothing else serves the shard.
     virtual void drain_asked(NodeId, bool /*draining*/, std::uint8_t /*how*/) { unexpected("a drain"); }
+    // What an operator wants of snapshots: 0 take (`name` of a volume, `as`), 1 drop, 2 clone (of a snapshot; `plan`
+    // empty: part of its source's), 3 which ranges differ (`name`, `as`).
+    virtual void cut_asked(std::uint8_t /*what*/, const std::string & /*name*/, const std::string & /*as*/,
+                           const std::string & /*plan*/) {
+        unexpected("a snapshot asked for");
+    }
+    // An edge's or a node's step of a cut. `how`, of a node: as store::Store::Cut counts; `life`: of an edge.
+    virtual void cut_told(VolumeId /*as*/, CutStep, std::uint8_t /*how*/, EdgeLife) { unexpected("a step of a cut"); }
+    // Offsets and lengths, in turn; `more`: they go on past the last.
+    virtual void diff_told(std::uint64_t /*question*/, const std::vector<std::uint64_t> & /*ranges*/, bool /*more*/) {
+        unexpected("ranges");
+    }
     // ---- From the planner.
     virtual void begins(Term, std::uint64_t /*instance*/, std::uint64_t /*lineage*/, Version, Version /*from*/,
                         Time /*now*/) { unexpected("news"); }
@@ -57,6 +69,23 @@
     }
     // Whether the edge reaches a node that the planner does not hear.
     virtual void witness_asked(NodeId) { unexpected("an ask for a witness"); }
+    // Of a cut, to edges: begin no change of the volume for so long; go on, in the epoch; go on as before.
+    virtual void cut_hold(VolumeId /*of*/, VolumeId /*as*/, std::uint32_t /*epoch*/, Time /*longest*/) {
+        unexpected("a cut");
+    }
+    virtual void cut_go(VolumeId /*of*/, VolumeId /*as*/, std::uint32_t /*epoch*/) { unexpected("a cut"); }
+    virtual void cut_release(VolumeId /*of*/, VolumeId /*as*/) { unexpected("a cut"); }
+    // To nodes: see node::Disk.
+    virtual void cut_open(VolumeId /*of*/, VolumeId /*as*/, std::uint32_t /*epoch*/,
+                          const std::vector<EdgeLife> & /*late*/) {
+        unexpected("a cut");
+    }
+    virtual void cut_seal(VolumeId /*of*/, VolumeId /*as*/) { unexpected("a cut"); }
+    virtual void cut_drop(VolumeId /*as*/) { unexpected("a cut"); }
+    virtual void cut_clone(VolumeId /*of*/, VolumeId /*as*/) { unexpected("a cut"); }
+    virtual void diff_asked(std::uint64_t /*question*/, VolumeId, VolumeId, std::uint64_t /*from*/) {
+        unexpected("an ask for ranges");
+    }
     virtual void node_told(NodeState) { unexpected("a node's state"); }
     virtual void status(const std::string & /*json*/) { unexpected("a status"); }
     virtual void effect(bool /*allowed*/, bool /*done*/, const std::string & /*text*/) { unexpected("an effect"); }
@@ -77,6 +106,17 @@
 std::string node_renew();
 std::string ask_status();
 std::string ask_drain(NodeId node, bool draining, std::uint8_t how);
+std::string ask_cut(std::uint8_t what, const std::string &name, const std::string &as, const std::string &plan);
+std::string tell_cut(VolumeId as, CutStep step, std::uint8_t how, EdgeLife life = {});
+std::string tell_diff(std::uint64_t question, const std::vector<std::uint64_t> &ranges, bool more);
+std::string cut_hold(VolumeId of, VolumeId as, std::uint32_t epoch, Time longest);
+std::string cut_go(VolumeId of, VolumeId as, std::uint32_t epoch);
+std::string cut_release(VolumeId of, VolumeId as);
+std::string cut_open(VolumeId of, VolumeId as, std::uint32_t epoch, const std::vector<EdgeLife> &late);
+std::string cut_seal(VolumeId of, VolumeId as);
+std::string cut_drop(VolumeId as);
+std::string cut_clone(VolumeId of, VolumeId as);
+std::string ask_diff(std::uint64_t question, VolumeId a, VolumeId b, std::uint64_t from);
 std::string begins(Term term, std::uint64_t instance, std::uint64_t lineage, Version version, Version from,
                    Time now);
 std::string put(NodeId id, const Node &n);
--- a/src/facts/table.hpp
+++ b/src/facts/table.hpp
@@ -15,6 +15,8 @@
 namespace knotvane::facts {
 
 using EdgeId = Id<struct EdgeKind, std::uint64_t>;
+// Of an edge's process: what nodes know it by.
+using EdgeLife = Id<struct EdgeLifeKind, std::uint64_t>;
 // Counts a planner's lives; a later one outranks all before it.
 using Term = Id<struct TermKind, std::uint64_t>;
 using Version = Id<struct VersionKind, std::uint64_t>;
@@ -41,8 +43,21 @@
     std::uint64_t size = 0;
     std::uint32_t least = 512; // bytes that requests are aligned to
     PlanId plan;
+    // Of a snapshot or a clone: where its bytes lie, whose share its tasks are of, what it was taken from; 0: itself,
+    // nothing. `epoch`: goes up with every snapshot of it.
+    VolumeId place{}, charge{}, of{};
+    std::uint32_t epoch = 0;
+    bool frozen = false;
+    Time taken = 0; // by the planner's clock
     bool operator==(const Volume &) const = default;
+
+    VolumeId lies_as(VolumeId self) const { return place.value ? place : self; }
+    VolumeId charged_to(VolumeId self) const { return charge.value ? charge : self; }
+    bool is_cut() const { return of.value != 0; }
 };
+// How far a cut has come: at an edge, which holds back new changes, goes by the new epoch, has ended all of the old
+// one, or stopped waiting; and at a node.
+enum class CutStep : std::uint8_t { ready, moved, drained, lapsed, opened, sealed, dropped, cloned };
 // One edge's part of a volume's limit, and how many edges serve the volume.
 struct Part {
     std::uint32_t millionths = 0, hosts = 0;
--- a/src/frames/frames.hpp
+++ b/src/frames/frames.hpp
@@ -25,14 +25,17 @@
 // Whether such an ask changes what is stored.
 constexpr bool changes(Kind kind) { return kind == Kind::write || kind == Kind::zero; }
 // The order is that on the wire.
-enum class Status : std::uint16_t { ok, error, full, too_late, bad_checksum, misdirected, called_off };
+// `stale`: of an epoch that was cut off; `no_space`: the store is full. Neither was done.
+enum class Status : std::uint16_t { ok, error, full, too_late, bad_checksum, misdirected, called_off, stale, no_space };
 
 inline constexpr std::uint8_t flag_durable = 1;  // the answer comes after the write is durable
 inline constexpr std::uint8_t flag_numbered = 2; // (life, number) is a mark: a repeat of it is dropped
+inline constexpr std::uint8_t flag_cut = 4;      // the volume is a snapshot or a clone: where it is not there, an error
 inline constexpr std::size_t header_size = 84;
 // The largest payload of a frame: an edge cuts tasks smaller; past it a peer is not believed.
 inline constexpr std::uint32_t most_payload = 32u << 20;
 
+// `epoch`: of a change, the volume's when its request began; of an answer that is stale, the volume's at the store.
 // Called for each whole frame; times in whole nanoseconds, units in thousandths, `payload` until the call
 // returns. Returns false to stop reading.
 class Sink {
@@ -40,13 +43,15 @@
     virtual ~Sink() = default;
     virtual bool frame(Kind kind, std::uint8_t flags, Status status, std::uint64_t tag, VolumeId volume,
                        std::uint64_t offset, std::uint32_t length, std::uint32_t units, std::uint64_t life,
-                       std::uint64_t number, Time not_after, ShardId shard, std::string_view payload) = 0;
+                       std::uint64_t number, Time not_after, ShardId shard, std::string_view payload,
+                       std::uint32_t epoch) = 0;
 };
 
 // Puts one frame together, checksums included.
 std::string make(Kind kind, std::uint8_t flags, Status status, std::uint64_t tag, VolumeId volume,
                  std::uint64_t offset, std::uint32_t length, std::uint32_t units, std::uint64_t life,
-                 std::uint64_t number, Time not_after, ShardId shard, std::string_view payload);
+                 std::uint64_t number, Time not_after, ShardId shard, std::string_view payload,
+                 std::uint32_t epoch = 0);
 
 class Reader {
   public:
--- a/src/node/disk.cpp
+++ b/src/node/disk.cpp
@@ -2,11 +2,16 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
+#include <stdexcept>
 
 namespace knotvane::node {
 namespace {
 
 constexpr Time never = std::numeric_limits<Time>::max();
+// Tree nodes that are taken down at once: some hundred microseconds of a stand-in's time.
+constexpr std::size_t piece = 64;
+constexpr Time piece_time = 200 * us;
 
 } // namespace
 
@@ -20,7 +25,8 @@
     Peer(Disk &d, ConnId c) : disk(d), conn(c) {}
     bool frame(frames::Kind kind, std::uint8_t flags, frames::Status, std::uint64_t tag, VolumeId volume,
                std::uint64_t offset, std::uint32_t length, std::uint32_t units, std::uint64_t life,
-               std::uint64_t number, Time not_after, ShardId shard, std::string_view payload) override {
+               std::uint64_t number, Time not_after, ShardId shard, std::string_view payload,
+               std::uint32_t epoch) override {
         if (kind == frames::Kind::hello) {
             greeted = true;
             disk.shell_.send(conn, frames::make(frames::Kind::welcome, 0, frames::Status::ok, disk.id_.value,
@@ -44,7 +50,7 @@
             return true;
         }
         Ask ask{conn,   kind,   flags,  tag,       volume,
-                offset, length, units / 1000.0, life,   number, not_after, std::string(payload)};
+                offset, length, units / 1000.0, life,   number, not_after, std::string(payload), epoch};
         if (shard != disk.shard_) {
             disk.answer(now, ask, frames::Status::misdirected);
             return true;
@@ -167,9 +173,64 @@
     }
 }
 
+Store::Cut Disk::open_cut(VolumeId of, VolumeId as, std::uint32_t epoch, std::set<facts::EdgeLife> late) {
+    auto how = store_.open_cut(of, as, epoch);
+    if (how == Store::Cut::done || how == Store::Cut::exists) late_[of] = std::move(late);
+    return how;
+}
+// A medium that can't make a cut durable serves nothing after that; the planner hears that the cut fell short, and the
+// next flush of a client tells the rest.
+bool Disk::seal(VolumeId of, VolumeId as) {
+    try {
+        if (!store_.seal(as)) return false;
+    } catch (const std::runtime_error &e) {
+        shell_.say(e.what());
+        return false;
+    }
+    late_.erase(of);
+    return true;
+}
+Store::Cut Disk::clone(VolumeId of, VolumeId as) {
+    try {
+        return store_.cut(of, as, false);
+    } catch (const std::runtime_error &e) {
+        shell_.say(e.what());
+        return Store::Cut::failed;
+    }
+}
+bool Disk::drop(VolumeId as) {
+    try {
+        return !store_.has(as) || store_.drop(as);
+    } catch (const std::runtime_error &e) {
+        shell_.say(e.what());
+        return false;
+    }
+}
+// Takes down a piece of what snapshots that were dropped had for themselves, when it is its turn.
+void Disk::tidy(Time now) {
+    if (!store_.reclaiming() || !background_.may(now, working_.size(), slots_, waiting_.size())) return;
+    if (unit_time_ == 0) {
+        background_.began(now, piece_time);
+        store_.reclaim(piece);
+        return;
+    }
+    // On a core that is modelled it takes a slot for a quarter of a unit.
+    auto took = std::max<Time>(1, unit_time_ / 4);
+    background_.began(now, took);
+    Ask work{};
+    work.background = true;
+    working_.emplace(now + took, std::move(work));
+}
+
 void Disk::serve(Time now, Ask &ask) {
+    if (ask.background) {
+        store_.reclaim(piece);
+        return;
+    }
     ++served_;
     if (hit(Fault::fail, now)) return answer(now, ask, frames::Status::error);
+    // Guards against a snapshot that was dropped while an edge has it open: it would read as zeroes.
+    if ((ask.flags & frames::flag_cut) && !store_.has(ask.volume)) return answer(now, ask, frames::Status::error);
     std::string out;
     bool well = true;
     switch (ask.kind) {
@@ -185,8 +246,24 @@
         if (ask.not_after > 0 && now > ask.not_after) return answer(now, ask, frames::Status::too_late);
         bool numbered = (ask.flags & frames::flag_numbered) != 0;
         if (numbered && store_.was_done(ask.life, ask.number, now)) break;
-        well = ask.kind == frames::Kind::write ? store_.write(ask.volume, ask.offset, ask.payload)
-                                               : store_.zero(ask.volume, ask.offset, ask.length);
+        std::optional<VolumeId> both;
+        if (auto epoch = store_.epoch(ask.volume); ask.epoch < epoch) {
+            both = store_.opened(ask.volume);
+            auto late = late_.find(ask.volume);
+            bool counts = late != late_.end() && late->second.contains(facts::EdgeLife{ask.life});
+            // Guards against a change that is in the cut here and out of it at another node. While the cut is open
+            // an edge that is not known to have stopped waits: told of the epoch it would begin changes of it at
+            // nodes that have not cut yet.
+            if (!counts && both) return answer(now, ask, frames::Status::full);
+            if (!counts) return answer(now, ask, frames::Status::stale, {}, epoch);
+        }
+        if (!store_.has_room(both ? 2ull * ask.length : ask.length)) return answer(now, ask, frames::Status::no_space);
+        if (both)
+            well = ask.kind == frames::Kind::write ? store_.write_both(ask.volume, *both, ask.offset, ask.payload)
+                                                   : store_.zero_both(ask.volume, *both, ask.offset, ask.length);
+        else
+            well = ask.kind == frames::Kind::write ? store_.write(ask.volume, ask.offset, ask.payload)
+                                                   : store_.zero(ask.volume, ask.offset, ask.length);
         if (!well) return answer(now, ask, frames::Status::error);
         if (numbered) store_.remember(ask.life, ask.number, ask.not_after, now);
         if (ask.flags & frames::flag_durable) store_.flush();
@@ -203,11 +280,11 @@
     answer(now, ask, frames::Status::ok, out);
 }
 
-void Disk::answer(Time now, const Ask &ask, frames::Status status, std::string_view payload) {
+void Disk::answer(Time now, const Ask &ask, frames::Status status, std::string_view payload, std::uint32_t epoch) {
     auto it = peers_.find(ask.conn);
     if (it == peers_.end() || it->second->mute) return;
     auto bytes = frames::make(frames::Kind::answer, 0, status, ask.tag, ask.volume, ask.offset, ask.length, 0,
-                              store_.life(), ask.number, now, shard_, payload);
+                              store_.life(), ask.number, now, shard_, payload, epoch);
     if (status != frames::Status::full) { // the faults of answers meet work that was done
         if (hit(Fault::mute, now)) {
             it->second->mute = true;
@@ -239,6 +316,8 @@
     if (pause_every_ > 0) due = std::min(due, next_pause_);
     if (put_off_every_ > 0) due = std::min(due, next_put_off_);
     if (!waiting_.empty() && paused_until_ > 0) due = std::min(due, paused_until_);
+    if (store_.reclaiming())
+        due = std::min(due, background_.due(working_.size(), slots_, waiting_.size()));
     for (const auto &f : faults_) {
         if (f.kind == Fault::hang && !waiting_.empty()) due = std::min(due, f.until);
         if (f.kind == Fault::refuse && f.from >= 0) due = std::min(due, std::max(f.from, Time{0}));
@@ -278,6 +357,7 @@
         put_off_units_ = 0;
     }
     start(now);
+    tidy(now);
 }
 
 void Disk::restart(Time now, bool lose_unflushed) {
@@ -286,6 +366,7 @@
         shell_.say("restarted; what was not flushed is lost");
     }
     waiting_.clear(), working_.clear(), leaving_.clear(), arrived_.clear();
+    late_.clear(), background_.restart();
     while (!peers_.empty()) drop(peers_.begin()->first, true);
     fallen_ = false;
     started_ = now;
--- a/src/node/disk.hpp
+++ b/src/node/disk.hpp
@@ -15,7 +15,9 @@
 
 #include "core/ids.hpp"
 #include "core/time.hpp"
+#include "facts/table.hpp"
 #include "frames/frames.hpp"
+#include "node/background.hpp"
 #include "store/store.hpp"
 
 namespace knotvane::node {
@@ -66,6 +68,15 @@
     // This part of a write's work is done later, all together each `every`.
     void set_put_off(double part, Time every);
 
+    // ---- Cuts, as the planner orders them. Each may be ordered again.
+    // `late`: the edges' processes that have stopped beginning changes of before `epoch`; what they began still goes
+    // into both. Any other's change of before it is turned away. Not durable before the seal.
+    Store::Cut open_cut(VolumeId of, VolumeId as, std::uint32_t epoch, std::set<facts::EdgeLife> late);
+    bool seal(VolumeId of, VolumeId as);
+    Store::Cut clone(VolumeId of, VolumeId as);
+    // True where nothing of it is left but space to reclaim, which is done in the background.
+    bool drop(VolumeId as);
+
     void came(Time now, ConnId conn);
     void bytes(Time now, ConnId conn, std::string_view in);
     void gone(Time now, ConnId conn);
@@ -97,6 +108,8 @@
         std::uint64_t life, number;
         Time not_after;
         std::string payload;
+        std::uint32_t epoch;
+        bool background = false;
     };
     struct Peer;
     struct Faulty {
@@ -113,7 +126,9 @@
     bool bears(Time now, double units);
     void start(Time now);
     void serve(Time now, Ask &ask);
-    void answer(Time now, const Ask &ask, frames::Status status, std::string_view payload = {});
+    void answer(Time now, const Ask &ask, frames::Status status, std::string_view payload = {},
+                std::uint32_t epoch = 0);
+    void tidy(Time now);
     void drop(ConnId conn, bool reset);
     double capacity(Time now) const;
 
@@ -134,6 +149,8 @@
     std::map<std::pair<Time, std::uint64_t>, std::pair<ConnId, std::string>> leaving_; // answers kept back
     std::deque<std::pair<Time, double>> arrived_; // units, while cold
     std::vector<Faulty> faults_;
+    std::map<VolumeId, std::set<facts::EdgeLife>> late_; // by volume: whose changes of an earlier epoch count
+    Background background_;
 };
 
 } // namespace knotvane::node
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -46,6 +46,35 @@
         line_.say(std::string("the planner has this node as ") +
                   (state == NodeState::ready ? "ready" : state == NodeState::draining ? "draining" : "gone"));
 }
+// ---- Cuts. A failure of the medium leaves the store as it was, and is told.
+namespace {
+constexpr std::uint8_t well = 0, fell_short = 4;
+// Ranges told at once: a message of some tens of kilobytes.
+constexpr std::size_t most_ranges = 4096;
+} // namespace
+void Registration::cut_open(VolumeId of, VolumeId as, std::uint32_t epoch, const std::vector<facts::EdgeLife> &late) {
+    line_.send(facts::tell_cut(as, facts::CutStep::opened, line_.open_cut ? line_.open_cut(of, as, epoch, late) : fell_short));
+}
+void Registration::cut_seal(VolumeId of, VolumeId as) {
+    line_.send(facts::tell_cut(as, facts::CutStep::sealed, line_.seal && line_.seal(of, as) ? well : fell_short));
+}
+void Registration::cut_drop(VolumeId as) {
+    line_.send(facts::tell_cut(as, facts::CutStep::dropped, line_.drop && line_.drop(as) ? well : fell_short));
+}
+void Registration::cut_clone(VolumeId of, VolumeId as) {
+    line_.send(facts::tell_cut(as, facts::CutStep::cloned, line_.clone ? line_.clone(of, as) : fell_short));
+}
+void Registration::diff_asked(std::uint64_t question, VolumeId a, VolumeId b, std::uint64_t from) {
+    std::vector<std::uint64_t> flat;
+    bool more = false;
+    if (line_.diff)
+        for (auto [at, length] : line_.diff(a, b)) {
+            if (at < from) continue;
+            if ((more = flat.size() == 2 * most_ranges)) break;
+            flat.push_back(at), flat.push_back(length);
+        }
+    line_.send(facts::tell_diff(question, flat, more));
+}
 Time Registration::next_due() const {
     if (!running_) return std::numeric_limits<Time>::max();
     return up_ ? renew_at_ : redial_.due();
--- a/src/node/registration.hpp
+++ b/src/node/registration.hpp
@@ -15,6 +15,13 @@
     struct Line {
         std::function<void()> dial, hang_up;
         std::function<void(std::string)> send, say;
+        // The node's store does what the planner orders; `how` as store::Store::Cut counts.
+        std::function<std::uint8_t(VolumeId of, VolumeId as, std::uint32_t epoch, const std::vector<facts::EdgeLife> &late)>
+            open_cut{};
+        std::function<bool(VolumeId of, VolumeId as)> seal{};
+        std::function<bool(VolumeId as)> drop{};
+        std::function<std::uint8_t(VolumeId of, VolumeId as)> clone{};
+        std::function<std::vector<std::pair<std::uint64_t, std::uint64_t>>(VolumeId, VolumeId)> diff{};
     };
     // `every`: between two signs of life.
     Registration(Line line, NodeId node, ShardId shard, ZoneId zone, std::string address, std::uint64_t seed,
@@ -32,6 +39,11 @@
 
   private:
     void node_told(NodeState state) override;
+    void cut_open(VolumeId of, VolumeId as, std::uint32_t epoch, const std::vector<facts::EdgeLife> &late) override;
+    void cut_seal(VolumeId of, VolumeId as) override;
+    void cut_drop(VolumeId as) override;
+    void cut_clone(VolumeId of, VolumeId as) override;
+    void diff_asked(std::uint64_t question, VolumeId a, VolumeId b, std::uint64_t from) override;
     void unexpected(const char *what) override { fault_ = what; }
 
     Line line_;
--- a/src/node/server.hpp
+++ b/src/node/server.hpp
@@ -28,6 +28,7 @@
     ShardId shard() const { return shard_; }
     // From the loop's thread: what the disk is told there, and the moment's end after it.
     Disk &disk() { return *disk_; }
+    const Store &store() const { return *store_; }
     void stirred();
 
     void send(ConnId conn, std::string bytes) override;
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "planner/side.hpp"
+
 namespace knotvane::planner {
 namespace {
 
@@ -25,78 +27,9 @@
     static constexpr const char *names[] = {"draining", "gone", "ready"};
     return names[static_cast<int>(s)];
 }
-std::string text(auto id) { return std::to_string(id.value); }
 
 } // namespace
 
-// One connection. What it says it is decides what it may say.
-struct Core::Side final : facts::Heard {
-    enum class Role { unknown, edge, node, visitor };
-    Core &core;
-    SideId id;
-    facts::Reader reader;
-    Role role = Role::unknown;
-    EdgeId edge;
-    NodeId node;
-    std::string listen, fault;
-    Term edge_term;
-    std::uint64_t edge_lineage = 0;
-    Version acked, told;
-    Time told_at = 0, heard = 0;
-    bool in_flight = false, is_long = false, closed = false;
-    std::optional<NodeState> state_told;
-
-    Side(Core &c, SideId i) : core(c), id(i) {}
-
-    bool expect(Role wanted, const char *what) {
-        if (role == wanted) return true;
-        unexpected(what);
-        return false;
-    }
-    void edge_hello(EdgeId e, const std::string &at, Term term, std::uint64_t instance, std::uint64_t lineage,
-                    Version version, const std::vector<NodeId> &draining,
-                    const std::vector<VolumeId> &serving) override {
-        if (expect(Role::unknown, "a second hello"))
-            core.edge_hello(*this, e, at, term, instance, lineage, version, draining, serving);
-    }
-    void renew(Time at, Term term, Version version) override {
-        if (expect(Role::edge, "a renewal")) core.renew(*this, at, term, version);
-    }
-    void ask() override {
-        if (expect(Role::edge, "an ask for the whole")) acked = told = Version{0}, in_flight = false;
-    }
-    void serve(VolumeId volume, bool on) override {
-        if (expect(Role::edge, "a volume served")) core.parts_.serve(volume, edge, on);
-    }
-    void witness(NodeId n, bool reached) override {
-        if (expect(Role::edge, "a witness"))
-            if (auto it = core.presence_.find(n); it != core.presence_.end()) it->second.witness(edge, reached);
-    }
-    void superseded(Term term) override {
-        if (expect(Role::edge, "another planner's term"))
-            core.outranked(term, "edge " + text(edge));
-    }
-    void node_hello(NodeId n, ShardId shard, ZoneId zone, const std::string &address, std::uint64_t life,
-                    Time age) override {
-        if (expect(Role::unknown, "a second hello")) core.node_hello(*this, n, shard, zone, address, life, age);
-    }
-    void node_renew() override {
-        if (expect(Role::node, "a node's renewal")) core.presence(node).renewed(core.now_);
-    }
-    void status_asked() override {
-        role = role == Role::unknown ? Role::visitor : role;
-        if (expect(Role::visitor, "an ask for status"))
-            core.shell_.send(id, facts::status(core.status_json(core.now_)));
-    }
-    void drain_asked(NodeId n, bool draining, std::uint8_t how) override {
-        role = role == Role::unknown ? Role::visitor : role;
-        if (expect(Role::visitor, "a drain")) core.drain_asked(*this, n, draining, how);
-    }
-    void unexpected(const char *what) override {
-        if (fault.empty()) fault = std::string(what) + " is not expected here";
-    }
-};
-
 Core::Core(Shell &shell, Keeper &keeper, Time lease, Time margin, Time fade, Time silent_for, Time out_after,
            Time back_after, Time drain_time)
     : shell_(shell), keeper_(keeper), silent_for_(silent_for), out_after_(out_after), back_after_(back_after),
@@ -146,6 +79,15 @@
         return {};
     }
     case Keeper::Row::drained: drained_.insert(NodeId{a}); return {};
+    case Keeper::Row::undo: {
+        std::uint32_t epoch = 0;
+        for (char c : body) {
+            if (c < '0' || c > '9') return "an undone cut's row can't be read";
+            epoch = epoch * 10 + static_cast<std::uint32_t>(c - '0');
+        }
+        undo_rows_[VolumeId{a}] = {VolumeId{b}, epoch};
+        return {};
+    }
     case Keeper::Row::wanted: {
         facts::Reader reader;
         struct Line final : facts::Heard {
@@ -174,6 +116,7 @@
     least_all_ = version;
     state_.restore(version, oldest);
     for (auto &[id, v] : state_.table().volumes) {
+        if (v.is_cut()) continue; // an operator's, not the settings'
         wanted_.volumes[id] = {v, state_.table().plans.contains(v.plan) ? state_.table().plans.at(v.plan).name : "", 0};
     }
     for (auto &[id, n] : state_.table().nodes)
@@ -190,6 +133,15 @@
             }
         }
     state_.restore(version, oldest);
+    // A cut that the last life did not make whole is undone, and its epoch, by which some may go, is not given twice.
+    for (auto &[as, row] : undo_rows_) {
+        cuts_.undo(as, all_shards());
+        if (auto v = state_.table().volumes.find(row.first); v != state_.table().volumes.end() && v->second.epoch < row.second) {
+            auto fact = v->second;
+            fact.epoch = row.second;
+            state_.put(row.first, fact);
+        }
+    }
     if (rebuilt) {
         // Any edge may go by the whole of any limit until what it was told must have run out.
         parts_.unknown(facts::whole_limit);
@@ -230,6 +182,10 @@
     for (auto &[id, v] : wanted_.volumes) {
         auto it = wanted.volumes.find(id);
         if (it == wanted.volumes.end()) {
+            for (auto &[cut, f] : state_.table().volumes)
+                if (f.is_cut() && f.lies_as(cut) == id)
+                    faults.emplace_back(0, "volume " + v.fact.name + " is left out and has a snapshot or clone, " + f.name +
+                                               ": drop it first");
             if (parts_.hosts(id) > 0)
                 faults.emplace_back(0, "volume " + v.fact.name + " is left out and has clients at " +
                                            std::to_string(parts_.hosts(id)) + " edges");
@@ -238,6 +194,15 @@
                                                      std::to_string(v.fact.size) + " bytes");
         }
     }
+    for (auto &[id, f] : state_.table().volumes) {
+        if (!f.is_cut()) continue;
+        auto plan = state_.table().plans.find(f.plan);
+        if (plan != state_.table().plans.end() && !wanted.plans.contains(plan->second.name))
+            faults.emplace_back(0, "plan " + plan->second.name + " is left out and " + f.name + " is of it");
+        for (auto &[other, v] : wanted.volumes)
+            if (v.fact.name == f.name)
+                faults.emplace_back(v.line, "volume " + f.name + ": a clone has this name");
+    }
     if (!faults.empty()) return;
     // Whole, from here on.
     for (auto &[id, n] : wanted_.nodes)
@@ -258,15 +223,18 @@
     for (auto &[id, v] : wanted.volumes) {
         auto fact = v.fact;
         fact.plan = ids.at(v.plan);
+        if (auto was = state_.table().volumes.find(id); was != state_.table().volumes.end())
+            fact.epoch = was->second.epoch;
         state_.put(id, fact);
     }
     std::vector<VolumeId> left_out;
     for (auto &[id, v] : state_.table().volumes)
-        if (!wanted.volumes.contains(id)) left_out.push_back(id);
+        if (!wanted.volumes.contains(id) && !v.is_cut()) left_out.push_back(id);
     for (auto id : left_out) state_.drop_volume(id);
     for (auto &[plan, id] : ids)
         if (!wanted.plans.contains(plan)) state_.drop(id);
     wanted_ = wanted;
+    cuts_.shards(all_shards());
     keep_wanted();
     commit_due_ = true;
     shell_.say("settings taken: version " + std::to_string(wanted.version) + ", " +
@@ -302,8 +270,12 @@
     if (side.role == Side::Role::edge && edges_[side.edge] == id) {
         edges_.erase(side.edge);
         for (auto &[n, p] : presence_) p.no_witness(side.edge);
+        cuts_.edge_gone(now, side.edge);
+    }
+    if (side.role == Side::Role::node && nodes_[side.node] == id) {
+        nodes_.erase(side.node);
+        cuts_.node_gone(now, side.node);
     }
-    if (side.role == Side::Role::node && nodes_[side.node] == id) nodes_.erase(side.node);
     sides_.erase(it);
 }
 void Core::close(Side &side, const std::string &why) {
@@ -390,6 +362,7 @@
     side.role = Side::Role::node, side.node = node;
     nodes_[node] = side.id;
     presence(node).heard(now_, address, life, now_ - age);
+    cuts_.node_came(node, shard);
 }
 
 Presence &Core::presence(NodeId node) {
@@ -555,6 +528,8 @@
         parts_.unknown(facts::usable(facts::whole_limit, 1, 1));
     if (unknown_until_ > 0 && now > unknown_until_ + leases_.fade()) parts_.unknown(0), unknown_until_ = 0;
     decide_nodes();
+    cuts_.tick(now, connected_nodes());
+    settle_cuts();
     keep_changes();
     if (commit_due_) {
         // Nothing is told that is not durable: a planner that comes back from its store must know all that it said.
@@ -564,11 +539,15 @@
     for (auto &[side, bytes] : std::exchange(after_commit_, {}))
         if (sides_.contains(side)) shell_.send(side, std::move(bytes));
     tell_sides();
+    begin_prepared();
 }
 
 Time Core::next_due() const {
     if (retired_) return never;
-    Time due = leases_.next_due();
+    Time due = std::min(leases_.next_due(), cuts_.next_due());
+    for (auto &[number, q] : questions_) due = std::min(due, q.until);
+    for (auto &[as, p] : pending_)
+        if (p.failed || p.whole) due = std::min(due, now_);
     for (auto &[id, p] : presence_) due = std::min(due, p.next_due());
     if (unknown_until_ > 0) due = std::min(due, unknown_until_ + (unknown_faded_ ? leases_.fade() : 0) + 1);
     if (commit_due_) due = std::min(due, now_ + commit_again);
@@ -602,6 +581,29 @@
              {"silent_ms", p != presence_.end() && p->second.ever_heard() ? p->second.silent(now) / ms : -1},
              {"out_of_reach_for", p != presence_.end() ? p->second.against() : 0}});
     }
+    out["cuts"] = json::array();
+    for (auto &[id, f] : state_.table().volumes) {
+        if (!f.is_cut()) continue;
+        auto of = state_.table().volumes.find(f.of);
+        out["cuts"].push_back({{"name", f.name},
+                               {"kind", f.frozen ? "snapshot" : "clone"},
+                               {"of", of == state_.table().volumes.end() ? "(dropped)" : of->second.name},
+                               {"size", f.size},
+                               {"age_ms", (now - f.taken) / ms},
+                               {"pays", f.charge.value ? "its source" : "itself"},
+                               {"used_by", users(id)}});
+    }
+    out["cuts_under_way"] = json::array();
+    for (auto &[as, waits] : cuts_.under_way())
+        if (auto p = pending_.find(as); p != pending_.end())
+            out["cuts_under_way"].push_back(
+                {{"name", p->second.fact.name}, {"since_ms", (now - p->second.began) / ms}, {"what", waits}});
+    out["cuts_undone"] = json::array();
+    for (auto &[as, left] : cuts_.undoing()) {
+        json shards = json::array();
+        for (auto s : left) shards.push_back(s.value);
+        out["cuts_undone"].push_back({{"id", as.value}, {"shards_left", shards}});
+    }
     out["edges"] = json::array();
     std::set<EdgeId> all;
     for (auto &[e, s] : edges_) all.insert(e);
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "facts/messages.hpp"
+#include "planner/cuts.hpp"
 #include "planner/members.hpp"
 #include "planner/parts.hpp"
 #include "planner/state.hpp"
@@ -36,7 +38,8 @@
 // What outlives the planner's process. Rows gather until commit, which makes all of them durable or none.
 class Keeper {
   public:
-    enum class Row : std::uint8_t { plan, volume, node, hold, drained, wanted };
+    // `undo`: a snapshot or clone (a) of a volume (b) that is not whole; its body the epoch.
+    enum class Row : std::uint8_t { plan, volume, node, hold, drained, wanted, undo };
     virtual ~Keeper() = default;
     virtual void keep(Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string body) = 0;
     virtual void drop(Row row, std::uint64_t a, std::uint64_t b) = 0;
@@ -65,13 +68,13 @@
     std::map<VolumeId, Volume> volumes;
 };
 
-class Core {
+class Core final : Cuts::Orders {
   public:
     // Times in nanoseconds. `lease`, `margin`, `fade`: see Leases. `silent_for`, `out_after`, `back_after`: see
     // Presence. `drain_time`: how long a drain has to have been known before the node may be removed.
     Core(Shell &shell, Keeper &keeper, Time lease, Time margin, Time fade, Time silent_for, Time out_after,
          Time back_after, Time drain_time);
-    ~Core();
+    ~Core() override;
 
     // Rows of the store, before start. An empty answer is good.
     std::string restore(Keeper::Row row, std::uint64_t a, std::uint64_t b, Version stamp, std::string_view body);
@@ -97,6 +100,8 @@
     const State &state() const { return state_; }
     const Parts &parts() const { return parts_; }
     std::string status_json(Time now) const;
+    // A snapshot or clone that is under way, or being taken back.
+    bool busy_with(VolumeId cut) const { return undo_rows_.contains(cut); }
 
   private:
     struct Side;
@@ -107,6 +112,55 @@
     void node_hello(Side &side, NodeId node, ShardId shard, ZoneId zone, const std::string &address,
                     std::uint64_t life, Time age);
     void drain_asked(Side &side, NodeId node, bool draining, std::uint8_t how);
+    // ---- Snapshots and clones.
+    // One that an operator waits for.
+    struct Pending {
+        SideId side;
+        VolumeId of;
+        facts::Volume fact;
+        std::uint32_t epoch = 0, tries = 0;
+        Time began = 0;
+        bool clone = false, durable = false, failed = false, again = false, whole = false;
+        std::string why;
+    };
+    // An operator's question about ranges, and the nodes that have not answered.
+    struct Question {
+        SideId side;
+        VolumeId a, b;
+        std::map<NodeId, std::uint64_t> left;
+        std::map<std::uint64_t, std::uint64_t> ranges;
+        Time until;
+    };
+    void hold(EdgeId edge, VolumeId of, VolumeId as, std::uint32_t epoch, Time longest) override;
+    void go(EdgeId edge, VolumeId of, VolumeId as, std::uint32_t epoch) override;
+    void release(EdgeId edge, VolumeId of, VolumeId as) override;
+    void open(NodeId node, VolumeId of, VolumeId as, std::uint32_t epoch, const std::vector<facts::EdgeLife> &late) override;
+    void seal(NodeId node, VolumeId of, VolumeId as) override;
+    void clone(NodeId node, VolumeId of, VolumeId as) override;
+    void drop(NodeId node, VolumeId as) override;
+    void whole(VolumeId as) override;
+    void failed(VolumeId as, const std::string &why, bool again) override;
+    void undone(VolumeId as) override;
+    void to_edge(EdgeId edge, std::string bytes);
+    void to_node(NodeId node, std::string bytes);
+    void cut_asked(Side &side, std::uint8_t what, const std::string &name, const std::string &as,
+                   const std::string &plan);
+    std::string refuse_cut(std::uint8_t what, const std::string &name, const std::string &as, const std::string &plan,
+                           Pending &p);
+    void prepare(Pending p);
+    void drop_cut(Side &side, VolumeId id);
+    void compare(Side &side, VolumeId a, VolumeId b);
+    void answer_question(std::uint64_t number, std::string why);
+    void diff_told(NodeId node, std::uint64_t number, const std::vector<std::uint64_t> &ranges, bool more);
+    void settle_cuts();
+    std::vector<std::uint64_t> users(VolumeId id) const;
+    void begin_prepared();
+    std::set<ShardId> all_shards() const;
+    std::map<NodeId, ShardId> connected_nodes() const;
+    // A node of each shard that can take part; empty where a shard has none, which `why` says.
+    std::set<NodeId> nodes_for_cut(std::string &why) const;
+    std::optional<VolumeId> find(const std::string &name) const;
+
     std::string effect(NodeId node, bool draining, bool &allowed, bool &serves) const;
     void retire(const std::string &why);
     // A newer planner's term was met. True if this one goes on, above it.
@@ -135,6 +189,11 @@
     std::map<NodeId, SideId> nodes_;
     std::vector<std::pair<SideId, std::string>> after_commit_;
     std::set<std::string> said_;
+    Cuts cuts_{*this};
+    std::map<VolumeId, Pending> pending_;
+    std::map<VolumeId, std::pair<VolumeId, std::uint32_t>> undo_rows_; // of, epoch
+    std::map<std::uint64_t, Question> questions_;
+    std::uint64_t next_cut_ = 0, next_question_ = 0;
     Term term_;
     std::uint64_t instance_ = 0, lineage_ = 0;
     Version least_all_;
--- a/src/planner/visitor.cpp
+++ b/src/planner/visitor.cpp
@@ -62,4 +62,11 @@
     return a.text;
 }
 
+std::string ask_cut(const std::string &address, std::uint8_t what, const std::string &name, const std::string &as,
+                    const std::string &plan, bool &allowed, bool &done, Time wait) {
+    auto a = visit(address, facts::ask_cut(what, name, as, plan), wait);
+    allowed = a.allowed, done = a.done;
+    return a.text;
+}
+
 } // namespace knotvane::planner
--- a/src/rules/judge.cpp
+++ b/src/rules/judge.cpp
@@ -64,7 +64,7 @@
     Wire(Judge &j, WireId i, EdgeId e) : judge(j), id(i), edge(e) {}
     bool frame(frames::Kind kind, std::uint8_t frame_flags, frames::Status status, std::uint64_t tag, VolumeId v,
                std::uint64_t offset, std::uint32_t length, std::uint32_t units, std::uint64_t, std::uint64_t number,
-               Time, ShardId shard, std::string_view payload) override {
+               Time, ShardId shard, std::string_view payload, std::uint32_t) override {
         if (from_edge && kind >= frames::Kind::read && kind <= frames::Kind::status) {
             numbers[tag] = number;
             if (kind == frames::Kind::flush || (frame_flags & frames::flag_durable)) judge.flush_asked_[*node] = now;
@@ -80,7 +80,8 @@
         for (auto &s : t->second.shots)
             if (s.tag == tag && s.wire == id && s.out) {
                 bool proved = !off && (status == frames::Status::full || status == frames::Status::too_late ||
-                                       status == frames::Status::misdirected);
+                                       status == frames::Status::misdirected ||
+                                       status == frames::Status::stale);
                 bool known = !off && status != frames::Status::called_off;
                 if (!off && status == frames::Status::ok) {
                     if (auto &r = t->second.request) {
--- a/src/settings/fleet_sections.cpp
+++ b/src/settings/fleet_sections.cpp
@@ -36,6 +36,8 @@
     for (auto *s : file.all("volume")) {
         std::uint64_t by_name = XXH3_64bits(s->name().data(), s->name().size());
         VolumeId id{s->count("id", 0, std::numeric_limits<std::uint64_t>::max(), by_name)};
+        if (s->name().find('@') != std::string::npos)
+            s->fault("", "a volume's name has no '@': that is for its snapshots");
         if (s->name().empty()) s->fault("", "expected a section like [volume members]");
         if (auto [it, is_new] = ids.try_emplace(id.value, s->name()); !is_new)
             s->fault("id", "volume '" + it->second + "' has it, too");
--- /dev/null
+++ b/src/sim/keeper.hpp
@@ -0,0 +1,54 @@
+// The planner's store in virtual time: durable for as long as the day, dies before or after a commit when
+// told to.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "planner/core.hpp"
+
+namespace knotvane::sim {
+
+struct MemoryKeeper final : planner::Keeper {
+    struct Row {
+        planner::Version stamp;
+        std::string body;
+    };
+    using Key = std::tuple<planner::Keeper::Row, std::uint64_t, std::uint64_t>;
+    std::map<Key, std::optional<Row>> gathered;
+    std::map<Key, Row> rows;
+    planner::Term term;
+    std::uint64_t lineage = 0, settings = 0;
+    planner::Version version, oldest;
+    int die_at = 0; // 1: the next commit does not come about, 2: it does and nobody hears of it
+    bool died = false;
+
+    void keep(planner::Keeper::Row r, std::uint64_t a, std::uint64_t b, planner::Version stamp,
+              std::string body) override {
+        gathered[{r, a, b}] = Row{stamp, std::move(body)};
+    }
+    void drop(planner::Keeper::Row r, std::uint64_t a, std::uint64_t b) override { gathered[{r, a, b}] = {}; }
+    bool commit(planner::Term t, std::uint64_t l, planner::Version v, planner::Version o,
+                std::uint64_t s) override {
+        if (die_at == 1) {
+            died = true;
+            return false;
+        }
+        for (auto &[key, row] : gathered)
+            if (row)
+                rows[key] = *row;
+            else
+                rows.erase(key);
+        gathered.clear();
+        term = t, lineage = l, version = v, oldest = o, settings = s;
+        died = die_at == 2;
+        return !died;
+    }
+    // The process is gone: what was gathered with it.
+    void lives_on() { gathered.clear(), die_at = 0, died = false; }
+};
+
+} // namespace knotvane::sim
--- a/src/sim/planning.cpp
+++ b/src/sim/planning.cpp
@@ -12,6 +12,7 @@
 #include "edge/subscription.hpp"
 #include "node/registration.hpp"
 #include "planner/core.hpp"
+#include "sim/keeper.hpp"
 
 namespace knotvane::sim {
 namespace {
@@ -21,42 +22,6 @@
 using facts::Version;
 using planner::SideId;
 
-// Durable for as long as the day; dies before or after a commit when told to.
-struct Disk final : planner::Keeper {
-    struct Row {
-        Version stamp;
-        std::string body;
-    };
-    using Key = std::tuple<planner::Keeper::Row, std::uint64_t, std::uint64_t>;
-    std::map<Key, std::optional<Row>> gathered;
-    std::map<Key, Row> rows;
-    planner::Term term;
-    std::uint64_t lineage = 0, settings = 0;
-    Version version, oldest;
-    int die_at = 0; // 1: the next commit does not come about, 2: it does and nobody hears of it
-    bool died = false;
-
-    void keep(planner::Keeper::Row r, std::uint64_t a, std::uint64_t b, Version stamp, std::string body) override {
-        gathered[{r, a, b}] = Row{stamp, std::move(body)};
-    }
-    void drop(planner::Keeper::Row r, std::uint64_t a, std::uint64_t b) override { gathered[{r, a, b}] = {}; }
-    bool commit(planner::Term t, std::uint64_t l, Version v, Version o, std::uint64_t s) override {
-        if (die_at == 1) {
-            died = true;
-            return false;
-        }
-        for (auto &[key, row] : gathered)
-            if (row)
-                rows[key] = *row;
-            else
-                rows.erase(key);
-        gathered.clear();
-        term = t, lineage = l, version = v, oldest = o, settings = s;
-        died = die_at == 2;
-        return !died;
-    }
-};
-
 struct World final : planner::Shell {
     struct EdgeHost final : edge::Line {
         World &w;
@@ -116,7 +81,7 @@
     Time now = 1000 * sec;
     std::multimap<Time, std::function<void()>> events;
     std::unique_ptr<planner::Core> core;
-    Disk disk;
+    MemoryKeeper disk;
     Time planner_wake = never;
     bool planner_paused = false;
     std::vector<std::function<void()>> while_paused;
@@ -256,7 +221,7 @@
     }
     void planner_start() {
         // A store as it is on disk: what was gathered is lost with the process.
-        disk.gathered.clear(), disk.die_at = 0, disk.died = false;
+        disk.lives_on();
         core = std::make_unique<planner::Core>(*this, disk, day.lease, day.lease / 20 + 100 * ms, day.fade, 2 * sec,
                                                sec, sec, 2 * sec);
         for (auto &[key, row] : disk.rows) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -14,7 +14,7 @@
 // The medium is three lanes, piece by piece in turn: two areas for trees and journal, of which one counts, and the
 // blocks. Each may grow for ever; a file is sparse where a lane is short.
 constexpr std::uint64_t piece = 64 << 10;
-constexpr std::uint64_t magic = 0x32726f7473766e6b;
+constexpr std::uint64_t magic = 0x33726f7473766e6b;
 constexpr std::size_t head_size = 64, record_head = 20;
 constexpr std::uint64_t body_at = Store::block;
 // A journal past this, and past twice what the trees take, is written anew as trees: a second or so of writes.
@@ -24,7 +24,7 @@
 // Snapshots are refused while less than this part is free: the writes that they make copies of need it.
 constexpr std::uint64_t reserve_part = 10;
 
-enum Kind : char { k_write = 1, k_cut, k_drop, k_mark, k_flushed, k_closed };
+enum Kind : char { k_write = 1, k_cut, k_drop, k_mark, k_flushed, k_closed, k_open, k_seal };
 
 template <class T> void put(std::string &to, T v) {
     char raw[sizeof v];
@@ -147,18 +147,23 @@
     return true;
 }
 
-void Store::apply(VolumeId volume, const std::vector<Change> &changes) {
-    auto &b = branches_[volume];
-    for (auto &c : changes) set(b, c.at, c.entry);
+void Store::apply(const Changes &changes) {
+    for (auto &[volume, list] : changes) {
+        auto &b = branches_[volume];
+        for (auto &c : list) set(b, c.at, c.entry);
+    }
 }
-void Store::log(VolumeId volume, const std::vector<Change> &changes) {
+void Store::log(const Changes &changes) {
     std::string record;
-    put(record, volume.value);
-    for (auto &c : changes) put(record, c.at), put(record, c.entry.slot), put(record, c.entry.crc);
+    for (auto &[volume, list] : changes) {
+        put(record, volume.value);
+        put(record, static_cast<std::uint32_t>(list.size()));
+        for (auto &c : list) put(record, c.at), put(record, c.entry.slot), put(record, c.entry.crc);
+    }
     append(k_write, record);
 }
-bool Store::put_all(VolumeId volume, const std::vector<Change> &changes) {
-    apply(volume, changes);
+bool Store::put_all(const Changes &changes) {
+    apply(changes);
     if (free_later_.size() <= most_later) return true;
     try {
         flush();
@@ -169,52 +174,79 @@
 }
 
 bool Store::write(VolumeId volume, std::uint64_t offset, std::string_view bytes) {
-    return change(volume, offset, bytes.size(), bytes.data());
+    return change({volume}, offset, bytes.size(), bytes.data());
 }
 bool Store::zero(VolumeId volume, std::uint64_t offset, std::uint32_t length) {
-    return change(volume, offset, length, nullptr);
+    return change({volume}, offset, length, nullptr);
+}
+bool Store::write_both(VolumeId of, VolumeId as, std::uint64_t offset, std::string_view bytes) {
+    return change({of, as}, offset, bytes.size(), bytes.data());
+}
+bool Store::zero_both(VolumeId of, VolumeId as, std::uint64_t offset, std::uint32_t length) {
+    return change({of, as}, offset, length, nullptr);
 }
 // All blocks of a change go in one record, which is there or not; each into a block that nothing durable names.
-bool Store::change(VolumeId volume, std::uint64_t offset, std::uint64_t length, const char *bytes) {
-    if (broken_ || frozen(volume)) return false;
-    std::vector<Change> changes;
+bool Store::change(const std::vector<VolumeId> &volumes, std::uint64_t offset, std::uint64_t length,
+                   const char *bytes) {
+    if (broken_) return false;
+    for (auto v : volumes)
+        if (frozen(v)) return false;
+    Changes changes;
+    std::vector<std::uint32_t> taken;
     auto give_back = [&] {
-        for (auto &c : changes)
-            if (c.entry.slot) free_.push_back(c.entry.slot);
+        free_.insert(free_.end(), taken.begin(), taken.end());
         return false;
     };
-    auto it = branches_.find(volume);
     char whole[block];
     try {
         while (length > 0) {
             auto within = static_cast<std::uint32_t>(offset % block);
             auto n = static_cast<std::uint32_t>(std::min<std::uint64_t>(block - within, length));
             auto at = offset / block;
-            Entry old = it == branches_.end() ? Entry{} : find(it->second, at);
-            if (!bytes && n == block) {
-                if (old.slot) changes.push_back({at, {}});
-            } else if (bytes || old.slot) {
-                std::string_view put_in(bytes, bytes ? n : 0);
-                if (n < block) {
-                    if (!load(old, whole)) return give_back();
-                    bytes ? std::memcpy(whole + within, bytes, n) : std::memset(whole + within, 0, n);
-                    put_in = {whole, block};
+            // Volumes that have one block in common go on with one.
+            std::vector<std::pair<Entry, Entry>> done; // the old one, the new one
+            for (auto volume : volumes) {
+                auto it = branches_.find(volume);
+                Entry old = it == branches_.end() ? Entry{} : find(it->second, at);
+                auto twin = std::find_if(done.begin(), done.end(),
+                                         [&](auto &d) { return n == block || d.first == old; });
+                if (!bytes && n == block) {
+                    if (old.slot) changes[volume].push_back({at, {}});
+                } else if (bytes && twin != done.end()) {
+                    changes[volume].push_back({at, twin->second});
+                } else if (!bytes && old.slot && twin != done.end()) {
+                    changes[volume].push_back({at, twin->second});
+                } else if (bytes || old.slot) {
+                    std::string_view put_in(bytes, bytes ? n : 0);
+                    if (n < block) {
+                        if (!load(old, whole)) return give_back();
+                        bytes ? std::memcpy(whole + within, bytes, n) : std::memset(whole + within, 0, n);
+                        put_in = {whole, block};
+                    }
+                    auto slot = take_slot();
+                    if (slot == 0) return give_back();
+                    taken.push_back(slot);
+                    Entry fresh{slot, crc32c(put_in)};
+                    changes[volume].push_back({at, fresh});
+                    done.emplace_back(old, fresh);
+                    medium_.write(slot_at(slot), put_in);
                 }
-                auto slot = take_slot();
-                if (slot == 0) return give_back();
-                changes.push_back({at, {slot, crc32c(put_in)}});
-                medium_.write(slot_at(slot), put_in);
             }
             offset += n, length -= n;
             if (bytes) bytes += n;
         }
         if (changes.empty()) return true;
-        log(volume, changes);
+        log(changes);
     } catch (const std::runtime_error &) {
         // A block that could not be written is no one's; a record that could not is written over by the next.
         return give_back();
     }
-    return put_all(volume, changes);
+    return put_all(changes);
+}
+bool Store::has_room(std::uint64_t bytes) const {
+    auto blocks = bytes / block + 2; // both ends may lie in the middle of one
+    return free_.size() + free_soon_.size() + free_later_.size() + (capacity_ - std::min(capacity_, refs_.size() - 1)) >=
+           blocks;
 }
 
 std::vector<std::pair<std::uint32_t, bool>> Store::runs(VolumeId volume, std::uint64_t offset,
@@ -288,19 +320,23 @@
 void Store::replay(char kind, std::string_view p, bool durable, bool &sound) {
     switch (kind) {
     case k_write: {
-        VolumeId volume{take<std::uint64_t>(p)};
-        std::vector<Change> changes;
+        Changes changes;
         while (!p.empty()) {
-            Change c;
-            c.at = take<std::uint64_t>(p), c.entry.slot = take<std::uint32_t>(p), c.entry.crc = take<std::uint32_t>(p);
-            if (c.entry.slot > capacity_) throw std::runtime_error("store: a record names a block past its end");
-            changes.push_back(c);
+            auto &list = changes[VolumeId{take<std::uint64_t>(p)}];
+            for (auto n = take<std::uint32_t>(p); n > 0; --n) {
+                Change c;
+                c.at = take<std::uint64_t>(p), c.entry.slot = take<std::uint32_t>(p);
+                c.entry.crc = take<std::uint32_t>(p);
+                if (c.entry.slot > capacity_) throw std::runtime_error("store: a record names a block past its end");
+                list.push_back(c);
+            }
         }
         // After the last flush a record may be there and its block not.
         char whole[block];
         if (!durable)
-            for (auto &c : changes) sound = sound && load(c.entry, whole);
-        if (sound) apply(volume, changes);
+            for (auto &[volume, list] : changes)
+                for (auto &c : list) sound = sound && load(c.entry, whole);
+        if (sound) apply(changes);
         break;
     }
     case k_cut: {
@@ -308,6 +344,17 @@
         cut_tree(of, as, take<std::uint8_t>(p) != 0);
         break;
     }
+    case k_open: {
+        VolumeId of{take<std::uint64_t>(p)}, as{take<std::uint64_t>(p)};
+        take<std::uint8_t>(p);
+        cut_tree(of, as, false, true, take<std::uint32_t>(p));
+        break;
+    }
+    case k_seal: {
+        auto &b = branches_[VolumeId{take<std::uint64_t>(p)}];
+        b.open = false, b.frozen = true;
+        break;
+    }
     case k_drop: drop_tree(VolumeId{take<std::uint64_t>(p)}); break;
     case k_mark: {
         auto life = take<std::uint64_t>(p), number = take<std::uint64_t>(p);
@@ -464,7 +511,8 @@
         put(branches, walk(walk, b.root.get()));
         put(branches, static_cast<std::uint32_t>(b.levels));
         put(branches, b.of.value);
-        put(branches, static_cast<std::uint8_t>((b.is_cut ? 1 : 0) | (b.frozen ? 2 : 0)));
+        put(branches, static_cast<std::uint8_t>((b.is_cut ? 1 : 0) | (b.frozen ? 2 : 0) | (b.open ? 4 : 0)));
+        put(branches, b.epoch);
     }
     put(out, static_cast<std::uint32_t>(ids.size()));
     out += nodes;
@@ -501,7 +549,8 @@
         b.root = nodes[root], b.levels = static_cast<int>(take<std::uint32_t>(body));
         b.of = VolumeId{take<std::uint64_t>(body)};
         auto flags = take<std::uint8_t>(body);
-        b.is_cut = flags & 1, b.frozen = flags & 2;
+        b.is_cut = flags & 1, b.frozen = flags & 2, b.open = flags & 4;
+        b.epoch = take<std::uint32_t>(body);
     }
     for (auto n = take<std::uint32_t>(body); n > 0; --n) {
         auto life = take<std::uint64_t>(body), number = take<std::uint64_t>(body);
@@ -548,31 +597,76 @@
     auto it = branches_.find(volume);
     return it != branches_.end() && it->second.frozen;
 }
-Store::Cut Store::cut_tree(VolumeId of, VolumeId as, bool freeze) {
+Store::Cut Store::cut_tree(VolumeId of, VolumeId as, bool freeze, bool open, std::uint32_t epoch) {
     if (auto it = branches_.find(as); it != branches_.end())
-        return it->second.is_cut && it->second.of == of && it->second.frozen == freeze ? Cut::exists : Cut::taken;
-    Branch source = branches_[of]; // what was never written is a volume of holes
-    source.of = of, source.is_cut = true, source.frozen = freeze;
+        return it->second.is_cut && it->second.of == of && it->second.frozen == freeze && it->second.open == open
+                   ? Cut::exists
+                   : Cut::taken;
+    auto &from = branches_[of]; // what was never written is a volume of holes
+    Branch source = from;
+    if (open) from.epoch = std::max(from.epoch, epoch);
+    source.of = of, source.is_cut = true, source.frozen = freeze, source.open = open, source.epoch = 0;
     branches_[as] = std::move(source);
     return Cut::done;
 }
-Store::Cut Store::cut(VolumeId of, VolumeId as, bool freeze) {
-    if (branches_.contains(as) || of == as) return of == as ? Cut::taken : cut_tree(of, as, freeze);
+Store::Cut Store::make(char kind, VolumeId of, VolumeId as, bool freeze, std::uint32_t epoch) {
+    bool open = kind == k_open;
+    if (of == as) return Cut::taken;
+    if (branches_.contains(as)) return cut_tree(of, as, freeze, open);
     if (broken_) return Cut::failed;
+    // Guards against a planner that lost count: changes of this epoch may be on both sides of the cut already.
+    if (open && epoch <= this->epoch(of)) return Cut::taken;
     if (capacity_ - std::min(used_, capacity_) < capacity_ / reserve_part) return Cut::full;
     std::string record;
     put(record, of.value);
     put(record, as.value);
     put(record, static_cast<std::uint8_t>(freeze));
+    if (open) put(record, epoch);
     try {
-        append(k_cut, record);
+        append(kind, record);
     } catch (const std::runtime_error &) {
         return Cut::failed;
     }
-    auto how = cut_tree(of, as, freeze);
-    flush();
+    return cut_tree(of, as, freeze, open, epoch);
+}
+Store::Cut Store::cut(VolumeId of, VolumeId as, bool freeze) {
+    auto how = make(k_cut, of, as, freeze, 0);
+    if (how == Cut::done) flush();
     return how;
 }
+Store::Cut Store::open_cut(VolumeId of, VolumeId as, std::uint32_t epoch) { return make(k_open, of, as, false, epoch); }
+bool Store::seal(VolumeId as) {
+    auto it = branches_.find(as);
+    if (broken_ || it == branches_.end()) return false;
+    if (it->second.open) {
+        std::string record;
+        put(record, as.value);
+        try {
+            append(k_seal, record);
+        } catch (const std::runtime_error &) {
+            return false;
+        }
+        it->second.open = false, it->second.frozen = true;
+    }
+    flush();
+    return it->second.frozen;
+}
+std::uint32_t Store::epoch(VolumeId volume) const {
+    auto it = branches_.find(volume);
+    return it == branches_.end() ? 0 : it->second.epoch;
+}
+std::vector<VolumeId> Store::cuts() const {
+    std::vector<VolumeId> out;
+    for (auto &[id, b] : branches_)
+        if (b.is_cut) out.push_back(id);
+    return out;
+}
+std::optional<VolumeId> Store::opened(VolumeId of) const {
+    // A dozen snapshots, not thousands; looked for only where a write comes late.
+    for (auto &[id, b] : branches_)
+        if (b.open && b.of == of) return id;
+    return std::nullopt;
+}
 void Store::drop_tree(VolumeId volume) {
     auto it = branches_.find(volume);
     if (it == branches_.end()) return;
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -52,6 +53,19 @@
     // ---- Snapshots and clones, durable when they return. Time and space by what changes later, not by size.
     // `as` is what `of` is now; frozen: it can't be written.
     Cut cut(VolumeId of, VolumeId as, bool frozen);
+    // The same in two steps, for a cut over many stores: `as` stays open, and writes of before `epoch` that come
+    // late go to both, by write_both and zero_both, until it is sealed. Not durable before that. `epoch`: that of
+    // what is written to `of` from here on.
+    Cut open_cut(VolumeId of, VolumeId as, std::uint32_t epoch);
+    // Frozen and durable from here on; again: nothing. False where there is none, or the medium fails.
+    bool seal(VolumeId as);
+    std::uint32_t epoch(VolumeId volume) const;
+    // The cut of a volume that is open, if one is.
+    std::optional<VolumeId> opened(VolumeId of) const;
+    std::vector<VolumeId> cuts() const; // snapshots and clones, open ones too
+    // To a volume and the cut of it that is open, both or none.
+    bool write_both(VolumeId of, VolumeId as, std::uint64_t offset, std::string_view bytes);
+    bool zero_both(VolumeId of, VolumeId as, std::uint64_t offset, std::uint32_t length);
     // False where there is none, or the medium fails. Its blocks come back by reclaim.
     bool drop(VolumeId volume);
     bool has(VolumeId volume) const { return branches_.contains(volume); }
@@ -60,8 +74,11 @@
     std::vector<std::pair<std::uint64_t, std::uint64_t>> diff(VolumeId a, VolumeId b) const;
     // Takes down up to so many nodes of dropped trees; false once there is nothing left.
     bool reclaim(std::size_t nodes);
+    bool reclaiming() const { return !dying_.empty(); }
     std::uint64_t blocks_used() const { return used_; }
     std::uint64_t capacity() const { return capacity_; }
+    // Whether a write of so many bytes finds room.
+    bool has_room(std::uint64_t bytes) const;
     // Blocks that this volume's next write to `offset` would have to copy: shared ones. For what a write costs.
     bool shared(VolumeId volume, std::uint64_t offset) const;
 
@@ -89,7 +106,8 @@
         Ptr root;
         int levels = 0; // below the root
         VolumeId of;    // what it was cut from
-        bool is_cut = false, frozen = false;
+        bool is_cut = false, frozen = false, open = false;
+        std::uint32_t epoch = 0;
     };
     using Mark = std::pair<std::uint64_t, std::uint64_t>;
     struct Change {
@@ -103,11 +121,14 @@
     bool load(const Entry &e, char *to);
     std::uint32_t take_slot();
     void unref(std::uint32_t slot);
-    bool change(VolumeId volume, std::uint64_t offset, std::uint64_t length, const char *bytes);
-    void log(VolumeId volume, const std::vector<Change> &changes);
-    bool put_all(VolumeId volume, const std::vector<Change> &changes);
-    void apply(VolumeId volume, const std::vector<Change> &changes);
-    Cut cut_tree(VolumeId of, VolumeId as, bool frozen);
+    // By volume: all of a change, in one record.
+    using Changes = std::map<VolumeId, std::vector<Change>>;
+    bool change(const std::vector<VolumeId> &volumes, std::uint64_t offset, std::uint64_t length, const char *bytes);
+    void log(const Changes &changes);
+    bool put_all(const Changes &changes);
+    void apply(const Changes &changes);
+    Cut cut_tree(VolumeId of, VolumeId as, bool frozen, bool open = false, std::uint32_t epoch = 0);
+    Cut make(char kind, VolumeId of, VolumeId as, bool frozen, std::uint32_t epoch);
     void drop_tree(VolumeId volume);
 
     void append(char kind, std::string_view payload);
--- a/tests/edge/helpers.hpp
+++ b/tests/edge/helpers.hpp
@@ -20,7 +20,7 @@
     void send(LinkId l, std::string b) override { sent[l] += b; }
     void close(LinkId l) override { closed.push_back(l); }
     void shot_over(Time, TaskId t, ShotId, NodeId, Outcome how, frames::Status, std::uint64_t,
-                   std::string_view payload) override {
+                   std::string_view payload, std::uint32_t) override {
         static constexpr const char *names[] = {"answered", "error", "full", "timed_out", "unreachable",
                                                 "reset", "called_off", "unsent"};
         told.push_back(std::to_string(t.value) + " " + names[static_cast<int>(how)] + " " + std::string(payload));
--- /dev/null
+++ b/tests/gateway/snapshot_test.cpp
@@ -0,0 +1,218 @@
+// Snapshots and clones on sockets, with a real client: planner, nodes and two edges as programs run them.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "helpers.hpp"
+#include "planner/visitor.hpp"
+
+using namespace knotvane;
+
+namespace {
+
+struct Planned {
+    std::string dir;
+    std::unique_ptr<fleet::Fleet> fleet;
+    explicit Planned(std::uint64_t edges = 2) {
+        auto pattern = (std::filesystem::temp_directory_path() / "knotvane-snap-XXXXXX").string();
+        dir = mkdtemp(pattern.data());
+        fleet = std::make_unique<fleet::Fleet>(
+            dir, 3, edges, 0, fleet::default_scheduling(), fleet::default_service(),
+            [](Actions &a, std::uint64_t s) { return make_scheduler(a, s); }, true);
+        fleet->start();
+    }
+    ~Planned() {
+        fleet.reset();
+        std::filesystem::remove_all(dir);
+    }
+    std::string uri(const std::string &volume, std::size_t edge = 0) const {
+        return "nbd://" + fleet->edge_address(edge) + "/" + volume;
+    }
+    bool ask(std::uint8_t what, const std::string &a, const std::string &b = "",
+             std::string *text = nullptr) const {
+        bool allowed = false, done = false;
+        auto heard = planner::ask_cut(fleet->planner_address(), what, a, b, "", allowed, done, 30 * sec);
+        if (text) *text = heard;
+        return done;
+    }
+    // Once every edge knows of it, or no longer does.
+    void know(const std::string &name, bool there = true) const {
+        for (int i = 0; i < 500; ++i, std::this_thread::sleep_for(std::chrono::milliseconds(5))) {
+            std::size_t n = 0;
+            for (std::size_t e = 0; e < fleet->edges(); ++e)
+                fleet->with_edge(e, [&](edge::Server &s) {
+                    n += s.subscription()->copy().table().names.contains(name) == there;
+                });
+            if (n == fleet->edges()) return;
+        }
+        FAIL("the edges don't hear of " << name);
+    }
+};
+
+} // namespace
+
+TEST_SUITE("snapshots on sockets") {
+    TEST_CASE("taken, found over NBD, read only, not touched by what comes after; cloned, written, dropped") {
+        Planned p;
+        Client c(p.uri("members"));
+        std::string before(1 << 20, 'b'), after(1 << 20, 'a');
+        REQUIRE(c.write(0, before) == 0);
+        REQUIRE(p.ask(0, "members", "one"));
+        CHECK(c.write(0, after) == 0);
+        p.know("members@one");
+        Client list;
+        nbd_set_opt_mode(list.h, true);
+        REQUIRE(nbd_connect_uri(list.h, p.uri("members", 1).c_str()) == 0);
+        std::vector<std::string> names;
+        nbd_list_callback each{[](void *to, const char *name, const char *) {
+                                   static_cast<std::vector<std::string> *>(to)->push_back(name);
+                                   return 0;
+                               },
+                               &names, nullptr};
+        CHECK(nbd_opt_list(list.h, each) == 3);
+        CHECK(names == std::vector<std::string>{"members", "members@one", "reports"});
+        nbd_opt_abort(list.h);
+        {
+            Client s;
+            nbd_add_meta_context(s.h, LIBNBD_CONTEXT_BASE_ALLOCATION);
+            REQUIRE(nbd_connect_uri(s.h, p.uri("members@one", 1).c_str()) == 0);
+            CHECK(nbd_is_read_only(s.h) == 1);
+            CHECK(nbd_get_size(s.h) == 256 << 20);
+            CHECK(s.read(0, before.size()) == before);
+            nbd_set_strict_mode(s.h, 0);
+            CHECK(s.write(0, "no") != 0);
+            std::vector<std::uint32_t> runs;
+            nbd_extent_callback extent{
+                [](void *to, const char *, std::uint64_t, std::uint32_t *entries, std::size_t n, int *) {
+                    static_cast<std::vector<std::uint32_t> *>(to)->assign(entries, entries + n);
+                    return 0;
+                },
+                &runs, nullptr};
+            CHECK(nbd_block_status(s.h, 256 << 10, 512 << 10, extent, 0) == 0);
+            CHECK(runs == std::vector<std::uint32_t>{256 << 10, 0});
+            CHECK(nbd_block_status(s.h, 256 << 10, 2 << 20, extent, 0) == 0);
+            CHECK(runs == std::vector<std::uint32_t>{256 << 10, 3});
+            // In use: refused, with who.
+            std::string why;
+            CHECK(!p.ask(1, "members@one", "", &why));
+            CHECK(why == "members@one is in use by clients of edge 1");
+        }
+        REQUIRE(p.ask(2, "members@one", "test"));
+        p.know("test");
+        Client w(p.uri("test", 1));
+        CHECK(w.read(0, before.size()) == before);
+        CHECK(w.write(4096, std::string(8192, 'c')) == 0);
+        CHECK(nbd_flush(w.h, 0) == 0);
+        CHECK(w.read(4096, 512) == std::string(512, 'c'));
+        CHECK(c.read(4096, 512) == std::string(512, 'a'));
+        std::string text;
+        CHECK(p.ask(3, "members@one", "test", &text));
+        CHECK(text == "8192 bytes in 1 ranges differ\n4096 8192");
+        // Dropped once nobody has it open; the clone lives on.
+        for (int i = 0; i < 200 && !p.ask(1, "members@one"); ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        p.know("members@one", false);
+        CHECK(w.read(0, 512) == std::string(512, 'b'));
+        Client gone(p.uri("members@one"));
+        CHECK(nbd_aio_is_ready(gone.h) == 0);
+    }
+    TEST_CASE("under load through two edges: each client's writes are in up to a point, and that is one "
+              "point for all") {
+        Planned p;
+        // Each client counts up, block after block; what a block holds is the count. A snapshot that has a
+        // client's n has all before n, and has every write that any client was answered before the take.
+        constexpr int clients = 4, blocks = 64;
+        std::atomic<bool> over = false;
+        std::atomic<std::uint64_t> answered[clients]{};
+        std::vector<std::thread> threads;
+        for (int i = 0; i < clients; ++i)
+            threads.emplace_back([&, i] {
+                Client c(p.uri("members", static_cast<std::size_t>(i % 2)));
+                for (std::uint64_t n = 1; !over; ++n) {
+                    std::string data(4096, '\0');
+                    std::memcpy(data.data(), &n, sizeof n);
+                    if (c.write(static_cast<std::uint64_t>(i) * (8 << 20) + n % blocks * (64 << 10), data) !=
+                        0)
+                        return;
+                    answered[i] = n;
+                }
+            });
+        std::vector<std::array<std::uint64_t, clients>> at_call, at_return;
+        for (int s = 0; s < 5; ++s) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(60));
+            auto &a = at_call.emplace_back();
+            for (int i = 0; i < clients; ++i) a[static_cast<std::size_t>(i)] = answered[i];
+            CHECK(p.ask(0, "members", std::to_string(s)));
+            auto &b = at_return.emplace_back();
+            for (int i = 0; i < clients; ++i)
+                b[static_cast<std::size_t>(i)] = answered[i] + 1; // one may be under way
+        }
+        over = true;
+        for (auto &t : threads) t.join();
+        for (std::size_t s = 0; s < 5; ++s) {
+            auto name = "members@" + std::to_string(s);
+            p.know(name);
+            Client c(p.uri(name));
+            for (std::uint64_t i = 0; i < clients; ++i) {
+                std::vector<std::uint64_t> has(blocks);
+                for (std::uint64_t b = 0; b < blocks; ++b) {
+                    auto data = c.read(i * (8 << 20) + b * (64 << 10), 512);
+                    std::memcpy(&has[b], data.data(), 8);
+                }
+                auto last = *std::max_element(has.begin(), has.end());
+                CHECK(last >= at_call[s][i]);
+                CHECK(last <= at_return[s][i]);
+                for (std::uint64_t n = last; n > 0 && n + blocks > last; --n) CHECK(has[n % blocks] == n);
+            }
+        }
+    }
+    TEST_CASE(
+        "a planner killed at any moment of a take: whole, or nothing left of it, and the next one is taken") {
+        Planned p(1);
+        Client c(p.uri("members"));
+        std::ranlux24_base chance(3);
+        for (int i = 0; i < 6; ++i) {
+            auto name = std::to_string(i);
+            std::thread killer([&, wait = chance() % 12] {
+                std::this_thread::sleep_for(std::chrono::milliseconds(wait));
+                p.fleet->kill_planner();
+            });
+            bool allowed = false, done = false;
+            try {
+                planner::ask_cut(p.fleet->planner_address(), 0, "members", name, "", allowed, done, 5 * sec);
+            } catch (const std::exception &) {
+            }
+            CHECK(c.write(0, std::string(4096, static_cast<char>('a' + i))) == 0);
+            killer.join();
+            p.fleet->start_planner();
+            nlohmann::json s;
+            for (int t = 0; t < 500; ++t, std::this_thread::sleep_for(std::chrono::milliseconds(10))) {
+                try {
+                    s = nlohmann::json::parse(planner::ask_status(p.fleet->planner_address(), sec));
+                    if (s["cuts_undone"].empty() && s["edges"].size() == 1 &&
+                        s["edges"][0]["connected"] == true)
+                        break;
+                } catch (const std::exception &) {
+                }
+            }
+            CHECK(s["cuts_undone"].empty());
+            bool there = false;
+            for (auto &cut : s["cuts"]) there |= cut["name"] == "members@" + name;
+            if (done) CHECK(there);
+            for (std::size_t n = 0; n < 3; ++n)
+                p.fleet->with_node(
+                    n, [&](node::Server &node) { CHECK(node.store().cuts().size() == s["cuts"].size()); });
+        }
+        // Nodes come back to a planner within two seconds.
+        bool taken = false;
+        for (int i = 0; i < 100 && !taken; ++i, std::this_thread::sleep_for(std::chrono::milliseconds(50)))
+            taken = p.ask(0, "members", "last");
+        CHECK(taken);
+    }
+}
--- /dev/null
+++ b/tests/node/cuts_test.cpp
@@ -0,0 +1,162 @@
+// A node in the middle of a cut: whose late changes go into both, who waits, who is told of the epoch; and
+// what it does of an evening with space to reclaim.
+#include <doctest/doctest.h>
+
+#include "helpers.hpp"
+
+using namespace knotvane;
+using namespace knotvane::node;
+using Lines = std::vector<std::string>;
+using facts::EdgeLife;
+
+namespace {
+constexpr VolumeId v{5}, snap{90};
+struct Cutting : Rig {
+    // A change of an edge's process that began in an epoch.
+    void change(std::uint64_t tag, std::uint64_t life, std::uint32_t epoch, char fill,
+                std::uint64_t number = 0, frames::Kind kind = frames::Kind::write) {
+        bool zero = kind == frames::Kind::zero;
+        disk.bytes(0, a,
+                   frames::make(kind, number > 0 ? frames::flag_numbered : std::uint8_t{0}, {}, tag, v, 0,
+                                4096, 1000, life, number, sec, ShardId{0},
+                                zero ? "" : std::string(4096, fill), epoch));
+    }
+    std::string holds(VolumeId id) {
+        std::string got;
+        store.read(id, 0, 2, got);
+        return got;
+    }
+    std::string last() { return told.answers.empty() ? "" : told.answers.back(); }
+};
+} // namespace
+
+TEST_SUITE("a node in the middle of a cut") {
+    TEST_CASE(
+        "late changes of who has stopped go into both, new ones into the volume alone, until it is sealed") {
+        Cutting r;
+        r.change(1, 11, 0, 'a');
+        CHECK(r.disk.open_cut(v, snap, 4, {EdgeLife{11}}) == Store::Cut::done);
+        r.change(2, 11, 4, 'b');
+        CHECK(r.holds(v) == "bb");
+        CHECK(r.holds(snap) == "aa");
+        r.change(3, 11, 0, 'c');
+        CHECK(r.holds(v) == "cc");
+        CHECK(r.holds(snap) == "cc");
+        r.change(4, 11, 0, 0, 0, frames::Kind::zero);
+        CHECK(r.holds(snap) == std::string(2, '\0'));
+        CHECK(r.disk.seal(v, snap));
+        r.change(5, 11, 0, 'd');
+        CHECK(r.last() == "5 7 ");
+        CHECK(r.holds(v) == std::string(2, '\0'));
+    }
+    // Found in virtual time: an edge that restarted from an old plan wrote into the cut under its former
+    // life's name.
+    TEST_CASE("whoever has not stopped, another process of the same edge too, waits while the cut is open") {
+        Cutting r;
+        r.disk.open_cut(v, snap, 4, {EdgeLife{11}});
+        r.change(1, 12, 0, 'x');
+        CHECK(r.last() == "1 2 ");
+        // Told of the epoch now, it would begin changes of it at nodes that have not cut yet.
+        r.disk.seal(v, snap);
+        r.change(2, 12, 0, 'x');
+        CHECK(r.last() == "2 7 ");
+        r.change(3, 12, 4, 'x');
+        CHECK(r.last() == "3 0 ");
+        CHECK(r.holds(snap) == std::string(2, '\0'));
+    }
+    TEST_CASE("a resent change whose first copy ran before the cut is answered, and is in once") {
+        Cutting r;
+        r.change(1, 11, 0, 'a', 77);
+        r.disk.open_cut(v, snap, 4, {EdgeLife{11}});
+        r.change(2, 11, 4, 'b');
+        r.change(3, 11, 0, 'a', 77);
+        CHECK(r.last() == "3 0 ");
+        CHECK(r.holds(v) == "bb");
+        CHECK(r.holds(snap) == "aa");
+    }
+    TEST_CASE("a cut that is undone lets who was late go on; a restarted node knows nobody who was") {
+        Cutting r;
+        r.disk.open_cut(v, snap, 4, {EdgeLife{11}});
+        CHECK(r.disk.drop(snap));
+        CHECK(r.disk.drop(snap)); // said again
+        r.change(1, 11, 0, 'a');
+        CHECK(r.last() == "1 0 ");
+        r.change(2, 12, 0, 'a');
+        CHECK(r.last() == "2 7 ");
+        r.disk.restart(0, false);
+        r.disk.came(0, r.a);
+        r.disk.bytes(
+            0, r.a,
+            frames::make(frames::Kind::hello, 0, {}, 0, VolumeId{1}, 0, 0, 0, 1, 0, 0, ShardId{0}, {}));
+        r.change(3, 11, 0, 'a');
+        CHECK(r.last() == "3 7 ");
+    }
+    TEST_CASE("ordered again it is the same cut; an epoch that is in use is no cut's") {
+        Cutting r;
+        CHECK(r.disk.open_cut(v, snap, 4, {}) == Store::Cut::done);
+        CHECK(r.disk.open_cut(v, snap, 4, {}) == Store::Cut::exists);
+        CHECK(r.disk.seal(v, snap));
+        CHECK(r.disk.seal(v, snap));
+        CHECK(r.disk.open_cut(v, VolumeId{91}, 4, {}) == Store::Cut::taken);
+        CHECK(r.disk.clone(snap, VolumeId{92}) == Store::Cut::done);
+        CHECK(r.disk.clone(snap, VolumeId{92}) == Store::Cut::exists);
+        CHECK(!r.disk.seal(v, VolumeId{93}));
+    }
+    TEST_CASE("a snapshot that was dropped is an error to who has it open, not zeroes") {
+        Cutting r;
+        r.disk.open_cut(v, snap, 4, {}), r.disk.seal(v, snap), r.disk.drop(snap);
+        r.disk.bytes(0, r.a,
+                     frames::make(frames::Kind::read, frames::flag_cut, {}, 1, snap, 0, 512, 1000, 0, 0, 0,
+                                  ShardId{0}, {}));
+        CHECK(r.last() == "1 1 ");
+    }
+    TEST_CASE("a full store says so, and the change is not done") {
+        std::string bytes;
+        auto medium = store::memory_medium(bytes);
+        Store small(*medium, 8);
+        Told told;
+        Disk disk(NodeId{1}, ShardId{0}, small, told, 7, 0);
+        ConnId a{1};
+        disk.came(0, a);
+        disk.bytes(
+            0, a, frames::make(frames::Kind::hello, 0, {}, 0, VolumeId{1}, 0, 0, 0, 1, 0, 0, ShardId{0}, {}));
+        for (std::uint64_t i = 1; i <= 12; ++i)
+            disk.bytes(0, a,
+                       frames::make(frames::Kind::write, 0, {}, i, v, i * 4096, 4096, 1000, 1, 0, 0,
+                                    ShardId{0}, std::string(4096, 'x')));
+        CHECK(told.answers.back() == "12 8 ");
+        CHECK(small.check().empty());
+    }
+}
+
+TEST_SUITE("work in the background") {
+    TEST_CASE("takes a tenth at most while idle, waits behind tasks, and goes on all the same") {
+        Background b;
+        CHECK(b.may(0, 0, 4, 0));
+        b.began(0, 10 * ms);
+        CHECK(!b.may(99 * ms, 0, 4, 0));
+        CHECK(b.may(100 * ms, 0, 4, 0));
+        b.began(100 * ms, 2 * ms);
+        CHECK(b.due(0, 4, 0) == 120 * ms);
+        CHECK(b.due(2, 4, 0) == 120 * ms);
+        CHECK(b.due(3, 4, 0) == 150 * ms); // the last slot is the tasks'
+        CHECK(b.due(0, 4, 1) == 150 * ms);
+        CHECK(b.may(150 * ms, 4, 4, 9));
+    }
+    TEST_CASE("space of a dropped snapshot comes back on a node that is never idle") {
+        Cutting r;
+        r.disk.set_speed(ms, 1, 2, 100);
+        for (std::uint64_t i = 0; i < 300; ++i) r.store.write(v, i * 64 * 4096, std::string(4096, 'x'));
+        r.store.cut(v, snap, true);
+        for (std::uint64_t i = 0; i < 300; ++i) r.store.write(v, i * 64 * 4096, std::string(4096, 'y'));
+        CHECK(r.store.blocks_used() == 600);
+        r.disk.drop(snap);
+        Time now = 0;
+        for (std::uint64_t tag = 1; r.store.reclaiming() && now < 3 * sec; now += ms) {
+            r.read(now, r.a, tag++), r.read(now, r.a, tag++);
+            r.disk.tick(now);
+        }
+        CHECK(r.store.blocks_used() == 300);
+        CHECK(now > 200 * ms); // behind them, a piece at a time
+    }
+}
--- a/tests/node/helpers.hpp
+++ b/tests/node/helpers.hpp
@@ -24,7 +24,7 @@
     void say(std::string t) override { said.push_back(std::move(t)); }
     bool frame(frames::Kind kind, std::uint8_t, frames::Status status, std::uint64_t tag, VolumeId,
                std::uint64_t, std::uint32_t, std::uint32_t, std::uint64_t, std::uint64_t, Time, ShardId,
-               std::string_view payload) override {
+               std::string_view payload, std::uint32_t) override {
         if (kind == frames::Kind::answer)
             answers.push_back(std::to_string(tag) + " " + std::to_string(static_cast<int>(status)) + " " +
                               std::string(payload.substr(0, 4)));
--- a/tests/store/helpers.hpp
+++ b/tests/store/helpers.hpp
@@ -95,7 +95,7 @@
     bool step() {
         VolumeId v{1 + chance() % volumes}, w{1 + chance() % volumes};
         std::uint64_t at = chance() % sectors, n = std::min<std::uint64_t>(1 + chance() % 40, sectors - at);
-        switch (chance() % 12) {
+        switch (chance() % 16) {
         case 0:
             if (s.frozen(v)) return false;
             (maybe = m)[v].replace(at, n, n, '\0');
@@ -115,6 +115,28 @@
             if (!s.drop(v)) return false;
             m[v].assign(sectors, '\0');
             return true;
+        case 12: { // a cut in two steps
+            maybe = m;
+            if (!s.has(w) && v != w) maybe[w] = m[v];
+            if (s.open_cut(v, w, s.epoch(v) + 1) == Store::Cut::done) m[w] = m[v];
+            return false;
+        }
+        case 13: maybe = m; return s.seal(v);
+        case 14:
+        case 15: { // what comes late goes into both
+            auto as = s.opened(v);
+            maybe = m;
+            if (!as) return false;
+            auto letter = static_cast<char>('A' + chance() % 26);
+            bool zeroes = chance() % 4 == 0;
+            if (zeroes) letter = '\0';
+            for (auto id : {v, *as})
+                if (!s.frozen(v)) maybe[id].replace(at, n, n, letter);
+            bool well = zeroes ? s.zero_both(v, *as, at * 512, static_cast<std::uint32_t>(n * 512))
+                               : s.write_both(v, *as, at * 512, std::string(n * 512, letter));
+            if (well) m = maybe;
+            return false;
+        }
         case 4: maybe = m; s.flush(); return true;
         case 5: maybe = m; s.reclaim(1 + chance() % 4); return false;
         default: {
