--- a/src/cli/days.cpp
+++ b/src/cli/days.cpp
@@ -50,6 +50,13 @@
     auto tallies = day::play(script, pattern, recording, [&](Actions &a, std::uint64_t seed) {
         return policy == "none" ? day::make_passthrough(a) : make_scheduler(a, seed);
     });
+    if (auto it = tallies.find(day::snapshots); it != tallies.end()) {
+        auto &t = it->second;
+        std::printf("snapshots: %llu taken, %llu not; in %.1f ms, the slowest %.1f\n",
+                    static_cast<unsigned long long>(t.good), static_cast<unsigned long long>(t.denied),
+                    msecs(load::quantile(t.took, 0.5)), msecs(load::quantile(t.took, 1)));
+        tallies.erase(it);
+    }
     if (then) then(tallies);
     std::printf("%-18s %8s %8s %8s %8s %8s %8s %9s %9s %8s\n", "load", "asked", "good", "in time", "denied", "errored",
                 "lost", "p50 ms", "p99 ms", "value");
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <mutex>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -10,6 +11,7 @@
 #include "edge/settings.hpp"
 #include "log/log.hpp"
 #include "nbd/wire.hpp"
+#include "planner/visitor.hpp"
 #include "record/recording.hpp"
 #include "relay/relay.hpp"
 #include "rules/figures.hpp"
@@ -21,7 +23,7 @@
 constexpr const char *node_faults[] = {"mute", "hang", "slow", "reset", "refuse", "full",
                                        "fail", "cut",  "garble", "late", "rot"};
 constexpr const char *others[] = {"restart", "drain", "hold", "split", "swallow", "sever", "late_list",
-                                  "planner_kill", "planner_pause", "undrain"};
+                                  "planner_kill", "planner_pause", "undrain", "snapshot"};
 
 } // namespace
 
@@ -81,7 +83,8 @@
             for (auto *k : others) all += std::string(k) + (k == std::end(others)[-1] ? "" : ", ");
             t->fault("kind", "expected one of " + all);
         }
-        if (!s.planner && (x.kind.starts_with("planner") || x.kind == "undrain"))
+        if (x.kind == "snapshot") x.volume = t->text("volume");
+        if (!s.planner && (x.kind.starts_with("planner") || x.kind == "undrain" || x.kind == "snapshot"))
             t->fault("kind", "goes with planner = yes in [day]");
         s.troubles.push_back(std::move(x));
     }
@@ -123,6 +126,7 @@
         };
     }
     ~Stage() {
+        for (auto &t : operators) t.join();
         // Edges tell the relay what they hear until they end.
         for (std::size_t e = 0; e < fleet.edges(); ++e) fleet.stop_edge(e);
         on_relay([&] {
@@ -138,6 +142,39 @@
     void drain(NodeId node, bool on) {
         if (!fleet.drain(node, on)) at(loop::now() + 50 * ms, [this, node, on] { drain(node, on); });
     }
+    // Taken, kept for a while and dropped by an operator with patience; the planner may be down.
+    void snapshot(const std::string &volume, Time length) {
+        auto name = std::to_string(operators.size());
+        operators.emplace_back([this, volume, name, length] {
+            constexpr Time patience = 20 * sec;
+            auto ask = [&](std::uint8_t what, const std::string &a, const std::string &b, Time wait) {
+                bool allowed = false, done = false;
+                std::string text;
+                try {
+                    text = planner::ask_cut(fleet.planner_address(), what, a, b, "", allowed, done, wait);
+                } catch (const std::exception &e) {
+                    text = e.what();
+                }
+                log::line(log::info, done ? "operator" : "operator: not done", {{"answer", text}});
+                return done;
+            };
+            auto began = loop::now();
+            bool taken = ask(0, volume, name, patience);
+            auto took = loop::now() - began;
+            {
+                std::lock_guard lock(tally_lock);
+                ++tally.asked, ++(taken ? tally.good : tally.denied);
+                if (taken) tally.took.push_back(took);
+            }
+            if (!taken) return;
+            std::this_thread::sleep_for(std::chrono::nanoseconds(length));
+            for (int tries = 0; tries < 10 && !ask(1, volume + "@" + name, "", 2 * sec); ++tries)
+                std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        });
+    }
+    std::vector<std::thread> operators;
+    std::mutex tally_lock;
+    Tally tally;
     void on_relay(const std::function<void()> &call) { relay_worker.run(call); }
     void at(Time when, std::function<void()> call) {
         auto it = std::find_if(later.begin(), later.end(), [&](auto &l) { return l.first > when; });
@@ -208,6 +245,8 @@
     } else if (t.kind == "planner_pause") {
         fleet.pause_planner(true);
         at(until, [this] { fleet.pause_planner(false); });
+    } else if (t.kind == "snapshot") {
+        snapshot(t.volume, t.length);
     } else if (t.kind == "undrain") {
         drain(id, false);
     } else if (t.kind == "drain" && script.planner) {
@@ -287,6 +326,8 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
     std::map<std::string, Tally> out;
+    for (auto &t : std::exchange(stage.operators, {})) t.join();
+    if (stage.tally.asked > 0) out[snapshots] = stage.tally;
     driver.run([&] {
         for (std::size_t i = 0; i < streams.size(); ++i) {
             auto &l = script.loads[i];
--- a/src/day/day.hpp
+++ b/src/day/day.hpp
@@ -19,6 +19,7 @@
     std::uint64_t count;
     double size;
     bool lose;
+    std::string volume{}; // of a snapshot
 };
 
 struct Load {
@@ -50,6 +51,8 @@
     std::vector<std::pair<double, double>> course; // value delivered in time and asked for, by second
 };
 
+inline constexpr const char *snapshots = "@snapshots"; // no load has such a name
+// Snapshots are in a tally of their own, under this name: how long each took, and those that were not taken as denied.
 // Plays a script in a folder, records to a file there, and tells of each stream. Throws std::runtime_error.
 std::map<std::string, Tally> play(const Script &script, const std::string &dir, const std::string &recording,
                                   const fleet::MakeScheduler &make);
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -170,6 +170,8 @@
         auto &f = it->second;
         v.plan = f.plan, v.place = f.lies_as(v.id), v.charge = f.charged_to(v.id);
         v.is_cut = f.is_cut(), v.frozen = f.frozen, v.gone = false;
+        // One whose source pays goes by the source's plan as it is now: one volume is of one plan.
+        if (auto pays = table_->volumes.find(v.charge); pays != table_->volumes.end()) v.plan = pays->second.plan;
         cuts_.learn(v.id, f.epoch);
     } else {
         v.gone = v.is_cut;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -159,9 +159,9 @@
 std::string default_service() { return "[speed]\nunit_time = 0ms\n"; }
 
 std::string node_settings(std::uint64_t id, std::uint64_t shard, const std::string &listen, const std::string &store,
-                          const std::string &service, Time age, const std::string &planner) {
+                          const std::string &service, Time age, const std::string &planner, bool sync) {
     return "[node]\nid = " + std::to_string(id) + "\nshard = " + std::to_string(shard) + "\nlisten = " + listen +
-           "\nstore = " + store + "\nsync = no\nage = " +
+           "\nstore = " + store + (sync ? "\nsync = yes" : "\nsync = no") + "\nage = " +
            std::to_string(age / ms) + "ms\n" + (planner.empty() ? "" : "planner = " + planner + "\n") + "\n" + service;
 }
 
@@ -174,8 +174,8 @@
 } // namespace
 
 Fleet::Fleet(std::string dir, std::uint64_t nodes, std::uint64_t edges, std::uint16_t ports, std::string scheduling,
-             std::string service, MakeScheduler make, bool planner)
-    : dir_(std::move(dir)), scheduling_(std::move(scheduling)), service_(std::move(service)), ports_(ports),
+             std::string service, MakeScheduler make, bool planner, bool sync)
+    : dir_(std::move(dir)), scheduling_(std::move(scheduling)), service_(std::move(service)), ports_(ports), sync_(sync),
       make_(std::move(make)) {
     address_for = [](std::size_t, NodeId, const std::string &address) { return address; };
     if (planner) plan(nodes);
@@ -198,7 +198,7 @@
     host.worker->run([&] {
         host.server.reset();
         auto text = node_settings(id.value, static_cast<std::uint64_t>(host.shard.value), "127.0.0.1:0", host.store,
-                                  service_, age, planner_address_);
+                                  service_, age, planner_address_, sync_);
         settings::File first("embedded node settings", text), again("embedded node settings", text);
         node::check(first);
         must_be_good(first);
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -58,7 +58,7 @@
 std::string edge_settings(std::uint64_t id, std::uint64_t edges, const std::string &listen, const std::string &list,
                           std::uint64_t shards, const std::string &scheduling, const std::string &planner = "");
 std::string node_settings(std::uint64_t id, std::uint64_t shard, const std::string &listen, const std::string &store,
-                          const std::string &service, Time age = 0, const std::string &planner = "");
+                          const std::string &service, Time age = 0, const std::string &planner = "", bool sync = false);
 // Volumes, plans, workloads and rules for an edge; how a node serves. Both can be replaced by a day's own.
 std::string default_scheduling();
 std::string default_service();
@@ -82,9 +82,10 @@
   public:
     // `dir` holds stores and lists. `ports`: the first edge listens there, the next ones above; 0: free ones.
     // Throws std::runtime_error, settings' faults among them.
-    // `planner`: nodes, plans and volumes come from a planner, a process of its own.
+    // `planner`: nodes, plans and volumes come from a planner, a process of its own. `sync`: nodes make flushes durable
+    // on the disk, not only against the end of their process.
     Fleet(std::string dir, std::uint64_t nodes, std::uint64_t edges, std::uint16_t ports, std::string scheduling,
-          std::string service, MakeScheduler make, bool planner = false);
+          std::string service, MakeScheduler make, bool planner = false, bool sync = false);
     ~Fleet();
 
     // Where edge and node can be reached; an edge's list may name other addresses (a relay's).
@@ -135,6 +136,7 @@
     planner::Wanted wanted_;
     std::unique_ptr<Process> planner_;
     std::uint16_t ports_;
+    bool sync_;
     MakeScheduler make_;
     std::uint64_t next_node_ = 0;
     edge::NodeList list_;
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -197,7 +197,7 @@
     for (auto &[id, f] : state_.table().volumes) {
         if (!f.is_cut()) continue;
         auto plan = state_.table().plans.find(f.plan);
-        if (plan != state_.table().plans.end() && !wanted.plans.contains(plan->second.name))
+        if (f.charged_to(id) == id && plan != state_.table().plans.end() && !wanted.plans.contains(plan->second.name))
             faults.emplace_back(0, "plan " + plan->second.name + " is left out and " + f.name + " is of it");
         for (auto &[other, v] : wanted.volumes)
             if (v.fact.name == f.name)
@@ -585,7 +585,8 @@
     for (auto &[id, f] : state_.table().volumes) {
         if (!f.is_cut()) continue;
         auto of = state_.table().volumes.find(f.of);
-        out["cuts"].push_back({{"name", f.name},
+        out["cuts"].push_back({{"id", id.value},
+                               {"name", f.name},
                                {"kind", f.frozen ? "snapshot" : "clone"},
                                {"of", of == state_.table().volumes.end() ? "(dropped)" : of->second.name},
                                {"size", f.size},
--- /dev/null
+++ b/tests/edge/core_cuts_test.cpp
@@ -0,0 +1,215 @@
+// The edge's core in the middle of a cut: one client, one node, every frame looked at.
+#include <doctest/doctest.h>
+
+#include "helpers.hpp"
+
+using namespace knotvane;
+using namespace knotvane::edge;
+using Lines = std::vector<std::string>;
+
+namespace {
+
+constexpr VolumeId v{7}, as{90};
+constexpr std::uint64_t extent = 256 << 10, span = 64 << 10;
+
+struct Rig final : Shell, load::Replies, frames::Sink {
+    Core core{*this,    [](Actions &a) { return make_scheduler(a, 1); },
+              0,        5,
+              extent,   span,
+              64 << 10, {ShardId{0}, ShardId{1}}};
+    facts::Table table;
+    std::unique_ptr<load::Session> client = std::make_unique<load::Session>(*this, "v", true);
+    Lines asked, ended_with, steps; // asked: "tag epoch units"
+    std::map<LinkId, frames::Reader> readers;
+    std::map<LinkId, std::uint64_t> node_of;
+    std::map<std::uint64_t, LinkId> link_of; // by tag
+    LinkId reading{};
+    Time now = sec;
+
+    explicit Rig(double copy = 0) {
+        auto &s = core.scheduler();
+        s.set_place(PeerId{0}, 1, ZoneId{0});
+        s.set_clock(ms, 0);
+        for (std::uint32_t i = 0; i < 5; ++i) {
+            s.add_workload(WorkloadId{i}, sec, 3 * sec, 1, 0.1);
+            s.set_repeat(WorkloadId{i}, i == 1 || i == 2 ? Repeat::numbered : Repeat::reissuable,
+                         Group::shard, i == 1 || i == 2 ? sec : 0);
+            core.add_workload(WorkloadId{i}, static_cast<Command>(i), ~0u, "", 3 * sec,
+                              i == 1 || i == 2 ? sec : 0);
+        }
+        s.set_units(2, 9, 0.35, 0.08);
+        s.set_shots(3, false, true);
+        s.set_denials(sec);
+        core.set_copy(copy);
+        facts::Volume f;
+        f.name = "v", f.size = 64 << 20;
+        table.put(PlanId{0}, facts::Plan{"p", 1, 1000, 0, 1, 0, 0});
+        table.put(v, f);
+        core.plan_told(PlanId{0}, 1, 1000, 0, 1, 0, 0);
+        core.follow(table);
+        core.ready(now);
+        core.list_begins(now, 1);
+        for (std::uint64_t n : {1, 2})
+            core.node_listed(NodeId{n}, std::to_string(n), ShardId{static_cast<std::int32_t>(n) - 1},
+                             ZoneId{0}, NodeState::ready, 0);
+        core.list_ends();
+        core.client_came(now, ClientId{1});
+        settle();
+    }
+    void settle() {
+        for (int i = 0; i < 4; ++i) {
+            core.settle(now);
+            if (auto out = client->take_out(); !out.empty()) core.client_bytes(now, ClientId{1}, out);
+        }
+    }
+    void write(std::uint64_t cookie, std::uint64_t offset, std::uint32_t length) {
+        client->ask(nbd::cmd_write, 0, cookie, offset, length, std::string(length, 'x'));
+        settle();
+    }
+    void node_says(std::uint64_t tag, frames::Status status, std::uint32_t epoch = 0) {
+        core.link_bytes(
+            now, link_of.at(tag),
+            frames::make(frames::Kind::answer, 0, status, tag, v, 0, 0, 0, 1, 0, 0, ShardId{0}, {}, epoch));
+        settle();
+    }
+    // ---- Shell
+    void connect(LinkId l, const std::string &address) override {
+        node_of[l] = std::stoull(address), fresh.push_back(l);
+    }
+    void send(LinkId l, std::string b) override {
+        reading = l;
+        readers[l].feed(b, *this);
+    }
+    void close(LinkId) override {}
+    void send_client(ClientId, std::string b) override { client->bytes(b); }
+    void close_client(ClientId) override {}
+    void hold_client(ClientId, bool) override {}
+    void say(std::string) override {}
+    void shot_ended(TaskId, NodeId, Outcome, Time) override {}
+    void cut_told(VolumeId, facts::CutStep s, facts::EdgeLife) override {
+        steps.push_back(std::to_string(static_cast<int>(s)));
+    }
+    std::vector<LinkId> fresh;
+    // Connections come up and are greeted.
+    void greet() {
+        for (auto l : std::exchange(fresh, {})) {
+            core.link_up(now, l);
+            core.link_bytes(now, l, welcome(node_of[l], now));
+        }
+        settle();
+    }
+    bool frame(frames::Kind kind, std::uint8_t, frames::Status, std::uint64_t tag, VolumeId, std::uint64_t,
+               std::uint32_t, std::uint32_t units, std::uint64_t, std::uint64_t, Time, ShardId,
+               std::string_view, std::uint32_t epoch) override {
+        if (kind == frames::Kind::hello || kind == frames::Kind::call_off) return true;
+        link_of[tag] = reading;
+        asked.push_back(std::to_string(tag) + " " + std::to_string(epoch) + " " + std::to_string(units));
+        return true;
+    }
+    // ---- Replies
+    void opened(std::uint64_t, std::uint16_t) override {}
+    void data(std::uint64_t, std::uint64_t, std::string_view) override {}
+    void ended(std::uint64_t c, std::uint32_t error, std::string_view) override {
+        ended_with.push_back(std::to_string(c) + " " + std::to_string(error));
+    }
+    void broken(std::string_view) override { ended_with.push_back("broken"); }
+    Lines take_asked() { return std::exchange(asked, {}); }
+};
+
+} // namespace
+
+TEST_SUITE("the edge in the middle of a cut") {
+    TEST_CASE(
+        "changes are kept back and begin in the new epoch; reads go on; what began before is waited for") {
+        Rig r;
+        r.write(1, 0, 4096), r.greet();
+        CHECK(r.take_asked() == Lines{"1 0 1062"});
+        r.core.cut_hold(r.now, v, as, 4, sec);
+        r.write(2, 64 << 10, 4096);
+        CHECK(r.take_asked().empty());
+        r.client->ask(nbd::cmd_read, 0, 3, 0, 4096), r.settle();
+        CHECK(r.take_asked() == Lines{"2 0 1062"});
+        r.core.cut_go(r.now, v, as, 4), r.settle();
+        CHECK(r.take_asked() == Lines{"3 4 1062"});
+        CHECK(r.steps == Lines{"0", "1"});
+        r.node_says(1, frames::Status::ok);
+        CHECK(r.steps == Lines{"0", "1", "2"});
+        r.node_says(3, frames::Status::ok);
+        CHECK(r.ended_with == Lines{"1 0", "2 0"});
+    }
+    TEST_CASE("a hold that runs out lets them go in the old epoch, well before their time is up") {
+        Rig r;
+        r.core.cut_hold(r.now, v, as, 4, 100 * ms);
+        r.write(1, 0, 4096), r.greet();
+        CHECK(r.core.next_due() <= r.now + 100 * ms);
+        r.now += 100 * ms, r.settle(), r.greet();
+        CHECK(r.take_asked() == Lines{"1 0 1062"});
+        CHECK(r.steps == Lines{"0", "3"});
+    }
+    TEST_CASE("a client that leaves takes with it what was kept back") {
+        Rig r;
+        r.core.cut_hold(r.now, v, as, 4, sec);
+        r.write(1, 0, 4096);
+        r.core.client_gone(r.now, ClientId{1});
+        r.core.cut_go(r.now, v, as, 4), r.settle(), r.greet();
+        CHECK(r.take_asked().empty());
+        CHECK(r.core.tasks() == 0);
+        CHECK(r.steps == Lines{"0", "1", "2"});
+    }
+    TEST_CASE("told that its epoch is over, a change of one part goes on in the one in force") {
+        Rig r;
+        r.write(1, 0, 4096), r.greet(), r.take_asked();
+        r.node_says(1, frames::Status::stale, 6);
+        r.now += 100 * ms, r.settle();
+        CHECK(r.take_asked() == Lines{"2 6 1062"});
+        r.node_says(2, frames::Status::ok);
+        CHECK(r.ended_with == Lines{"1 0"});
+        r.write(2, 0, 4096);
+        CHECK(r.take_asked() == Lines{"3 6 1062"});
+    }
+    TEST_CASE("one of several parts, of which another was sent, is errored: its parts may be on both sides") {
+        Rig r;
+        r.write(1, 0, 128 << 10), r.greet();
+        REQUIRE(r.take_asked().size() == 2);
+        r.node_says(1, frames::Status::stale, 6);
+        CHECK(r.ended_with == Lines{"1 5"});
+        r.node_says(2, frames::Status::ok);
+        CHECK(r.ended_with.size() == 1);
+        CHECK(r.core.tasks() == 0);
+    }
+    TEST_CASE("no space at the node is ENOSPC, once") {
+        Rig r;
+        r.write(1, 0, 128 << 10), r.greet();
+        r.node_says(1, frames::Status::no_space);
+        r.node_says(2, frames::Status::no_space);
+        CHECK(r.ended_with == Lines{"1 28"});
+    }
+    TEST_CASE("the first change of a span in an epoch costs what a copy does, where that is told") {
+        Rig r(0.25);
+        r.write(1, 0, 4096), r.greet();
+        r.core.cut_hold(r.now, v, as, 4, sec), r.core.cut_go(r.now, v, as, 4);
+        r.take_asked();
+        r.node_says(1, frames::Status::ok);
+        for (std::uint64_t i = 2; i <= 4; ++i) {
+            r.write(i, i == 4 ? 64 << 10 : 0, 4096);
+            r.node_says(i, frames::Status::ok);
+        }
+        CHECK(r.take_asked() == Lines{"2 4 1312", "3 4 1062", "4 4 1312"});
+    }
+    TEST_CASE("a snapshot that is dropped is said to be, and never read as something else") {
+        Rig r;
+        facts::Volume s = r.table.volumes.at(v);
+        s.name = "v@a", s.of = s.place = s.charge = v, s.frozen = true;
+        r.table.put(as, s);
+        r.core.facts_changed(r.now);
+        r.client = std::make_unique<load::Session>(r, "v@a", true);
+        r.core.client_gone(r.now, ClientId{1});
+        r.core.client_came(r.now, ClientId{1});
+        r.settle();
+        r.table.drop_volume(as);
+        r.core.facts_changed(r.now);
+        r.client->ask(nbd::cmd_read, 0, 1, 0, 4096), r.settle(), r.greet();
+        CHECK(r.take_asked().empty());
+        CHECK(r.ended_with == Lines{"1 108"});
+    }
+}
--- a/tests/gateway/day_test.cpp
+++ b/tests/gateway/day_test.cpp
@@ -129,6 +129,18 @@
                          trouble("at = 650ms\nkind = planner_kill\nlength = 300ms", "y")));
         p.check_kept();
     }
+    TEST_CASE("snapshots through two edges while a node hangs, a link is held and the planner dies: every rule holds") {
+        std::string troubles = trouble("at = 600ms\nkind = hang\nnode = 0\nlength = 300ms") +
+                               trouble("at = 1s\nkind = hold\nnode = 1\nedge = 0\nlength = 500ms", "y") +
+                               trouble("at = 1800ms\nkind = planner_kill\nlength = 200ms", "z");
+        for (int i = 0; i < 8; ++i)
+            troubles += trouble("at = " + std::to_string(200 + 250 * i) + "ms\nkind = snapshot\nvolume = members\nlength = 200ms",
+                                "s" + std::to_string(i));
+        Played p(planned(troubles));
+        p.check_kept();
+        CHECK(p.tallies[day::snapshots].good > 0);
+        CHECK(p.tallies["a"].errored < p.tallies["a"].good / 10);
+    }
     TEST_CASE("deaths at points from a seed: service in time holds, no request is lost") {
         auto o = day::make_outages(2, 3);
         Played p(o.script);
