Refuse what is of before a sealed cut; one cut a volume; drop only what is durably dropped

An edge left out of one cut was late in the next and brought a part of a change whose other parts were in the first. A cut that waited to be tried again did not count as under way, so two were open on one volume and late changes met one.

Change: the store keeps the epoch of the last sealed cut, and nodes refuse what is of before it, whoever brings it; a volume has one cut from the asking to the end of its tries; nodes hear of a drop after its commit. Each has a small test. The fuzz target plays with a cut under way.

--- a/src/node/disk.cpp
+++ b/src/node/disk.cpp
@@ -248,6 +248,10 @@
         if (numbered && store_.was_done(ask.life, ask.number, now)) break;
         std::optional<VolumeId> both;
         if (auto epoch = store_.epoch(ask.volume); ask.epoch < epoch) {
+            // Found in virtual time: an edge left out of one cut and late in the next brought a part of a change whose
+            // other parts were in the first.
+            if (auto sealed = store_.sealed(ask.volume); ask.epoch < sealed)
+                return answer(now, ask, frames::Status::stale, {}, sealed);
             both = store_.opened(ask.volume);
             auto late = late_.find(ask.volume);
             bool counts = late != late_.end() && late->second.contains(facts::EdgeLife{ask.life});
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -536,6 +536,7 @@
         if (!keeper_.commit(term_, lineage_, state_.version(), state_.oldest_told(), wanted_.version)) return;
         commit_due_ = false;
     }
+    for (auto id : std::exchange(undo_after_commit_, {})) cuts_.undo(id, all_shards());
     for (auto &[side, bytes] : std::exchange(after_commit_, {}))
         if (sides_.contains(side)) shell_.send(side, std::move(bytes));
     tell_sides();
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -193,6 +193,7 @@
     std::map<VolumeId, Pending> pending_;
     std::map<VolumeId, std::pair<VolumeId, std::uint32_t>> undo_rows_; // of, epoch
     std::map<std::uint64_t, Question> questions_;
+    std::vector<VolumeId> undo_after_commit_;
     std::uint64_t next_cut_ = 0, next_question_ = 0;
     Term term_;
     std::uint64_t instance_ = 0, lineage_ = 0;
--- a/src/planner/core_cuts.cpp
+++ b/src/planner/core_cuts.cpp
@@ -115,7 +115,10 @@
     }
     Pending p;
     if (auto why = refuse_cut(what, name, as, plan, p); !why.empty()) return refuse(why);
-    if (cuts_.cutting(p.of) && !p.clone) return refuse("another snapshot of " + name + " is under way");
+    // Found in virtual time: one that had failed and was about to be tried again did not count, and two cuts of one
+    // volume were open at once, of which late changes met one.
+    for (auto &[as_other, other] : pending_)
+        if (!p.clone && !other.clone && other.of == p.of) return refuse("another snapshot of " + name + " is under way");
     p.side = side.id, p.began = now_;
     prepare(std::move(p));
 }
@@ -211,7 +214,9 @@
     state_.drop_volume(id);
     undo_rows_[id] = {fact.of, 0};
     keeper_.keep(Keeper::Row::undo, id.value, fact.of.value, Version{1}, "0");
-    cuts_.undo(id, all_shards());
+    // Found in virtual time: ordered before it was durable, a planner that died in between came back to a snapshot whose
+    // bytes were gone.
+    undo_after_commit_.push_back(id);
     shell_.say("operator: drop " + fact.name);
     commit_due_ = true;
     after_commit_.emplace_back(
--- a/src/planner/cuts.cpp
+++ b/src/planner/cuts.cpp
@@ -232,9 +232,6 @@
     for (auto &[node, shard] : connected) node_came(node, shard);
 }
 
-bool Cuts::cutting(VolumeId of) const {
-    return std::any_of(attempts_.begin(), attempts_.end(), [&](auto &a) { return a.second.of == of; });
-}
 std::map<VolumeId, std::string> Cuts::under_way() const {
     std::map<VolumeId, std::string> out;
     for (auto &[as, a] : attempts_) {
--- a/src/planner/cuts.hpp
+++ b/src/planner/cuts.hpp
@@ -64,7 +64,6 @@
     Time next_due() const;
     void tick(Time now, const std::map<NodeId, ShardId> &connected);
 
-    bool cutting(VolumeId of) const;
     bool busy(VolumeId as) const { return attempts_.contains(as); }
     // For operators: each cut under way and what it waits for; each undone one and its shards left.
     std::map<VolumeId, std::string> under_way() const;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -353,6 +353,7 @@
     case k_seal: {
         auto &b = branches_[VolumeId{take<std::uint64_t>(p)}];
         b.open = false, b.frozen = true;
+        branches_[b.of].sealed = branches_[b.of].epoch;
         break;
     }
     case k_drop: drop_tree(VolumeId{take<std::uint64_t>(p)}); break;
@@ -513,6 +514,7 @@
         put(branches, b.of.value);
         put(branches, static_cast<std::uint8_t>((b.is_cut ? 1 : 0) | (b.frozen ? 2 : 0) | (b.open ? 4 : 0)));
         put(branches, b.epoch);
+        put(branches, b.sealed);
     }
     put(out, static_cast<std::uint32_t>(ids.size()));
     out += nodes;
@@ -550,7 +552,7 @@
         b.of = VolumeId{take<std::uint64_t>(body)};
         auto flags = take<std::uint8_t>(body);
         b.is_cut = flags & 1, b.frozen = flags & 2, b.open = flags & 4;
-        b.epoch = take<std::uint32_t>(body);
+        b.epoch = take<std::uint32_t>(body), b.sealed = take<std::uint32_t>(body);
     }
     for (auto n = take<std::uint32_t>(body); n > 0; --n) {
         auto life = take<std::uint64_t>(body), number = take<std::uint64_t>(body);
@@ -605,7 +607,7 @@
     auto &from = branches_[of]; // what was never written is a volume of holes
     Branch source = from;
     if (open) from.epoch = std::max(from.epoch, epoch);
-    source.of = of, source.is_cut = true, source.frozen = freeze, source.open = open, source.epoch = 0;
+    source.of = of, source.is_cut = true, source.frozen = freeze, source.open = open, source.epoch = source.sealed = 0;
     branches_[as] = std::move(source);
     return Cut::done;
 }
@@ -647,6 +649,8 @@
             return false;
         }
         it->second.open = false, it->second.frozen = true;
+        auto &of = branches_[it->second.of];
+        of.sealed = of.epoch;
     }
     flush();
     return it->second.frozen;
@@ -655,6 +659,10 @@
     auto it = branches_.find(volume);
     return it == branches_.end() ? 0 : it->second.epoch;
 }
+std::uint32_t Store::sealed(VolumeId volume) const {
+    auto it = branches_.find(volume);
+    return it == branches_.end() ? 0 : it->second.sealed;
+}
 std::vector<VolumeId> Store::cuts() const {
     std::vector<VolumeId> out;
     for (auto &[id, b] : branches_)
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -60,6 +60,8 @@
     // Frozen and durable from here on; again: nothing. False where there is none, or the medium fails.
     bool seal(VolumeId as);
     std::uint32_t epoch(VolumeId volume) const;
+    // The epoch of the last cut of it that was sealed: what is of before it would change that one.
+    std::uint32_t sealed(VolumeId volume) const;
     // The cut of a volume that is open, if one is.
     std::optional<VolumeId> opened(VolumeId of) const;
     std::vector<VolumeId> cuts() const; // snapshots and clones, open ones too
@@ -107,7 +109,7 @@
         int levels = 0; // below the root
         VolumeId of;    // what it was cut from
         bool is_cut = false, frozen = false, open = false;
-        std::uint32_t epoch = 0;
+        std::uint32_t epoch = 0, sealed = 0; // in force; of the last cut that was sealed
     };
     using Mark = std::pair<std::uint64_t, std::uint64_t>;
     struct Change {
--- a/tests/fuzz/plan_fuzz.cpp
+++ b/tests/fuzz/plan_fuzz.cpp
@@ -29,9 +29,12 @@
     std::string_view in(reinterpret_cast<const char *>(data), size);
     if (size > 0) in.remove_prefix(1);
     planner::Planning p;
+    // A snapshot is under way while the bytes come.
+    p.say(0, 60, facts::ask_cut(0, "v", "first", ""));
+    p.core.settle(0);
     auto lines = p.did.said.size();
     for (std::size_t at = 0; at < in.size(); at += piece) p.say(0, 70, std::string(in.substr(at, piece)));
-    p.core.settle(0);
+    for (Time now : {Time{0}, Time{1}, 200 * ms, 20 * sec}) p.core.settle(now);
     auto closed = std::count(p.did.closed.begin(), p.did.closed.end(), planner::SideId{70});
     if (closed > 1 || (closed == 1 && p.did.said.size() == lines)) std::abort();
     if (p.core.parts().bound(VolumeId{7}) > facts::whole_limit) std::abort();
--- a/tests/node/cuts_test.cpp
+++ b/tests/node/cuts_test.cpp
@@ -64,6 +64,22 @@
         CHECK(r.last() == "3 0 ");
         CHECK(r.holds(snap) == std::string(2, '\0'));
     }
+    // Found in virtual time: the first part had run before cut 4, the second came in the middle of cut 5.
+    TEST_CASE("what is of before a sealed cut is refused, also of who is late in the next one") {
+        Cutting r;
+        r.disk.open_cut(v, snap, 4, {}), r.disk.seal(v, snap);
+        r.disk.open_cut(v, VolumeId{91}, 5, {EdgeLife{11}});
+        r.change(1, 11, 3, 'x');
+        CHECK(r.last() == "1 7 ");
+        r.change(2, 11, 4, 'y');
+        CHECK(r.last() == "2 0 ");
+        CHECK(r.holds(VolumeId{91}) == "yy");
+        // One that was undone seals nothing off.
+        r.disk.drop(VolumeId{91});
+        r.disk.open_cut(v, VolumeId{92}, 6, {EdgeLife{11}});
+        r.change(3, 11, 4, 'z');
+        CHECK(r.last() == "3 0 ");
+    }
     TEST_CASE("a resent change whose first copy ran before the cut is answered, and is in once") {
         Cutting r;
         r.change(1, 11, 0, 'a', 77);
--- a/tests/planner/cuts_test.cpp
+++ b/tests/planner/cuts_test.cpp
@@ -323,6 +323,26 @@
         CHECK(core.state().table().volumes.at(VolumeId{7}).epoch == 41);
         CHECK(core.busy_with(VolumeId{99}));
     }
+    TEST_CASE("a drop that could not be made durable reaches no node") {
+        Snapshots p;
+        p.ask(sec, 0, "v", "a");
+        auto orders = p.nodes[1].heard.size();
+        p.did.durable = false;
+        p.ask(sec, 1, "v@a");
+        CHECK(p.nodes[1].heard.size() == orders);
+        p.did.durable = true;
+        p.run(sec + 600 * ms);
+        CHECK(p.nodes[1].heard.size() == orders + 1);
+    }
+    TEST_CASE("a second take is refused while the first is not yet begun, or waits to be tried again") {
+        Snapshots p;
+        p.say(sec, 61, facts::ask_cut(0, "v", "b", "")), p.say(sec, 62, facts::ask_cut(0, "v", "c", ""));
+        p.run(sec);
+        EdgeSide heard;
+        heard.reader.bytes(p.did.sent[SideId{62}], heard);
+        CHECK(heard.effect_text == "another snapshot of v is under way");
+        CHECK(p.core.state().table().names.contains("v@b"));
+    }
     TEST_CASE(
         "dropping one that a client has open is refused with who; else it goes at once, at the nodes later") {
         Snapshots p;
