--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -376,7 +376,6 @@
             if (v.own.size() <= span) v.own.resize(span + 1);
             if (!v.own[span]) v.own[span] = true, units += copy_;
         }
-        ++requests_.at(no).parts;
         auto work = std::make_shared<Work>(Work{zeroes ? frames::Kind::zero : frames::Kind::write, v.id,
                                                 layout_.shard_of(v.place, offset), offset, n, units, fua, 0, false, 0,
                                                 std::string(data.substr(0, zeroes ? 0 : n))});
--- a/src/edge/core.hpp
+++ b/src/edge/core.hpp
@@ -152,10 +152,9 @@
         bool some_done = false;
         std::set<TaskId> tasks; // not ended yet
         std::uint64_t mark = 0; // of a flush
-        // Of a change that has begun: its epoch, and how many parts it has.
+        // Of a change that has begun: its epoch.
         bool begun = false;
         std::uint32_t epoch = 0;
-        std::size_t parts = 0;
         VolumeId volume{};
     };
     // A change that came while none may begin.
--- a/src/sim/cutting.cpp
+++ b/src/sim/cutting.cpp
@@ -149,7 +149,6 @@
         std::map<std::uint64_t, WriteNo> held;
     };
     std::map<std::string, Seen> snapshots;
-    std::set<std::string> failed;
     bool quiet = false;
 
     explicit World(const CutDay &d)
@@ -350,11 +349,7 @@
         Time called = now;
         operate(facts::ask_cut(0, "v", name, ""), [this, name, called](bool done) {
             auto full = "v@" + name;
-            if (!done) {
-                ++out.refused;
-                failed.insert(full);
-                return;
-            }
+            if (!done) return void(++out.refused);
             ++out.taken;
             auto id = id_of(full);
             snapshots[full] = {called, now, id, held(id)};
