--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -1,5 +1,5 @@
 find_package(doctest REQUIRED)
-add_executable(knotvane_tests tests/main.cpp tests/policy_test.cpp tests/wire_test.cpp src/drill/host.cpp)
+add_executable(knotvane_tests tests/main.cpp tests/policy_test.cpp tests/wire_test.cpp src/drill/host.cpp src/wire/setup.cpp)
 target_include_directories(knotvane_tests PRIVATE src)
 target_link_libraries(knotvane_tests PRIVATE doctest::doctest)
 add_test(NAME decisions COMMAND knotvane_tests)
--- /dev/null
+++ b/src/platform/clients.cpp
@@ -0,0 +1,247 @@
+#include "platform/clients.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <utility>
+
+namespace knotvane::platform {
+namespace {
+
+constexpr Time never = std::numeric_limits<Time>::max();
+// Who says nothing, or does not come to an end with a request, is owed an end within 3 s.
+constexpr Time unfinished = 2 * sec;
+// A connection without a request may be closed after 2 s; they are kept longer while there is room.
+constexpr Time idle_least = 2 * sec, idle_most = 10 * sec;
+// What is read ahead of the open request, so that a client's leaving shows.
+constexpr std::size_t most_behind = 16 << 10;
+// A request's id is fresh. So many are remembered: some ten seconds of a busy scheduler.
+constexpr std::size_t most_traces = 4096;
+// No client waits for an hour: a longer time is a mistake.
+constexpr double longest_wait = 3600;
+
+const char *reason(unsigned status) {
+    switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 413: return "Payload Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 501: return "Not Implemented";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 505: return "HTTP Version Not Supported";
+    default: return "Error";
+    }
+}
+bool plain_id(std::string_view s, std::size_t most) {
+    return !s.empty() && s.size() <= most && std::all_of(s.begin(), s.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_' ||
+               c == '.' || c == ':' || c == '+' || c == '/' || c == '=';
+    });
+}
+// Splits at `at`, blanks around the parts left out; the rest is what remains.
+std::string_view part(std::string_view &rest, char at) {
+    auto end = std::min(rest.find(at), rest.size());
+    auto p = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    while (!p.empty() && p.front() == ' ') p.remove_prefix(1);
+    while (!p.empty() && p.back() == ' ') p.remove_suffix(1);
+    return p;
+}
+
+} // namespace
+
+Clients::Clients(Wires &wires, RequestsTold &told, Conns &conns, std::vector<std::string> workloads,
+                 std::vector<std::string> plans, std::size_t most)
+    : wires_(wires), told_(told), conns_(conns), most_(std::max<std::size_t>(most, 1)) {
+    for (std::uint32_t i = 0; i < workloads.size(); ++i) workloads_[workloads[i]] = WorkloadId{i};
+    for (std::uint32_t i = 0; i < plans.size(); ++i) plans_[plans[i]] = PlanId{i};
+}
+
+ConnId Clients::came(Time now) {
+    if (clients_.size() >= most_) shed(now);
+    ConnId conn = conns_.next();
+    auto &c = clients_.try_emplace(conn).first->second;
+    c.since = now;
+    due_at(conn, c, now + unfinished);
+    return conn;
+}
+// Out goes who never said anything, the longest there; else who may be closed for being idle; else who is not done
+// with a head. Usual clients speak as soon as they are here.
+void Clients::shed(Time now) {
+    auto rank = [&](const Client &c) {
+        return c.open ? 4 : !c.heard ? 0 : c.in.state() != http::State::empty ? 2 : now - c.since >= idle_least ? 1 : 3;
+    };
+    auto least = clients_.end();
+    for (auto it = clients_.begin(); it != clients_.end(); ++it)
+        if (rank(it->second) < 4 &&
+            (least == clients_.end() || std::pair(rank(it->second), it->second.since) <
+                                            std::pair(rank(least->second), least->second.since)))
+            least = it;
+    if (least != clients_.end()) drop(least->first, false);
+}
+void Clients::due_at(ConnId conn, Client &c, Time at) {
+    due_.erase({c.due, conn});
+    c.due = at;
+    if (at != never) due_.insert({at, conn});
+}
+void Clients::drop(ConnId conn, bool when_sent) {
+    auto it = clients_.find(conn);
+    due_.erase({it->second.due, conn});
+    clients_.erase(it);
+    wires_.close(conn, when_sent);
+}
+
+void Clients::bytes(Time now, ConnId conn, std::string_view in) {
+    auto it = clients_.find(conn);
+    if (it == clients_.end()) return;
+    Client &c = it->second;
+    c.heard = true;
+    if (!c.open && c.behind.empty()) return read(now, conn, in);
+    c.behind += in;
+    if (c.behind.size() > most_behind && !std::exchange(c.held, true)) wires_.hold(conn, true);
+}
+void Clients::read(Time now, ConnId conn, std::string_view in) {
+    while (!in.empty()) {
+        Client &c = clients_.at(conn);
+        if (c.in.state() == http::State::empty && c.since + unfinished != c.due) due_at(conn, c, now + unfinished);
+        in.remove_prefix(c.in.take(in));
+        if (c.in.state() == http::State::broken) return refuse(now, conn, c.in.fault_status(), c.in.fault());
+        if (c.in.state() != http::State::whole) return;
+        auto [status, why] = request(now, conn, c);
+        if (status != 0) return refuse(now, conn, status, why);
+        auto it = clients_.find(conn);
+        if (it == clients_.end()) return;
+        if (it->second.open) {
+            it->second.behind.assign(in);
+            return;
+        }
+    }
+}
+std::pair<unsigned, const char *> Clients::request(Time now, ConnId conn, Client &c) {
+    const std::string &target = c.in.target();
+    bool reads = c.in.method() == "GET", writes = c.in.method() == "PUT";
+    c.last = !c.in.keeps_open();
+    if (target == "/healthz" && reads) {
+        send(now, conn, told_.serves() ? 200 : 503, "", "");
+        return {0, ""};
+    }
+    if (!reads && !writes) return {405, "neither GET nor PUT"};
+    if (reads && !c.in.body().empty()) return {400, "a GET with a body"};
+    if (target.empty() || target[0] != '/') return {400, "the target is not a path"};
+    auto first = std::string_view(target).substr(1);
+    auto workload = workloads_.find(first.substr(0, first.find_first_of("/?#")));
+    if (workload == workloads_.end()) return {404, "the path names no class"};
+    auto trace = c.in.header("X-Trace-Id");
+    if (!trace || !plain_id(*trace, 64)) return {400, "X-Trace-Id: expected one id"};
+    auto plan = plans_.find(c.in.header("X-Storage-Class").value_or(""));
+    if (plan == plans_.end()) return {400, "X-Storage-Class: names no plan"};
+    auto wait = http::number(c.in.header("X-Expires-In").value_or(""));
+    if (!wait || *wait <= 0 || *wait > longest_wait) return {400, "X-Expires-In: expected seconds"};
+    std::string_view mark = c.in.header("Idempotency-Key").value_or("");
+    if (c.in.count("Idempotency-Key") > 1 || (!mark.empty() && !plain_id(mark, 256)))
+        return {400, "Idempotency-Key: expected one key"};
+    KeyId key = no_key;
+    if (c.in.count("Cookie") > 0) {
+        std::string_view rest = c.in.header("Cookie").value_or("");
+        std::optional<std::uint64_t> object;
+        while (!rest.empty() && !object)
+            if (auto p = part(rest, ';'); part(p, '=') == "object") object = http::hex16(p);
+        if (!object) return {400, "Cookie: expected object as 16 hex digits"};
+        key = KeyId{*object};
+    }
+    std::optional<std::uint64_t> volume;
+    std::optional<double> units, shard, hosts;
+    for (std::string_view rest = c.in.header("X-Extent").value_or(""); !rest.empty();) {
+        auto p = part(rest, ',');
+        auto name = part(p, '=');
+        if (name == "volume") volume = http::hex16(p);
+        if (name == "units") units = http::number(p);
+        if (name == "shard") shard = http::number(p);
+        if (name == "hosts") hosts = http::number(p);
+    }
+    auto whole = [](double v) { return v == static_cast<double>(static_cast<std::int64_t>(v)); };
+    if (!volume || !units || !shard || !hosts || *units <= 0 || *units > 1e6 || *hosts < 1 || *hosts > 1e6 ||
+        !whole(*hosts) || *shard < -1 || *shard > 1e6 || !whole(*shard))
+        return {400, "X-Extent: expected volume, units, shard and hosts"};
+    auto hashed = static_cast<std::uint64_t>(std::hash<std::string_view>{}(*trace));
+    if (traces_.contains(hashed)) return {409, "X-Trace-Id: was used before"};
+    remember(hashed);
+    bool repeated = c.in.header("X-Second-Try") == "1";
+    auto work = std::make_shared<const Work>(
+        Work{std::string(c.in.method()), target, std::string(*trace), std::string(mark), c.in.take_body()});
+    c.open = true;
+    due_at(conn, c, never);
+    told_.request_came(now, conn, workload->second, VolumeId{*volume}, plan->second,
+                       ShardId{static_cast<std::int32_t>(*shard)}, key, *units, *hosts, writes, repeated,
+                       now + static_cast<Time>(*wait * 1e9), std::move(work));
+    return {0, ""};
+}
+void Clients::remember(std::uint64_t trace) {
+    traces_.insert(trace), last_traces_.push_back(trace);
+    if (last_traces_.size() <= most_traces) return;
+    traces_.erase(last_traces_.front()), last_traces_.pop_front();
+}
+void Clients::gone(Time now, ConnId conn) {
+    auto it = clients_.find(conn);
+    if (it == clients_.end()) return;
+    bool open = it->second.open;
+    due_.erase({it->second.due, conn});
+    clients_.erase(it);
+    if (open) told_.request_left(now, conn);
+}
+
+void Clients::send(Time now, ConnId conn, unsigned status, const std::string &headers, std::string body) {
+    auto it = clients_.find(conn);
+    if (it == clients_.end()) return;
+    Client &c = it->second;
+    bool last = c.last || stopping_;
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\n" + headers +
+                       "Content-Length: " + std::to_string(body.size()) + "\r\n" +
+                       (last ? "Connection: close\r\n\r\n" : "\r\n");
+    wires_.send(conn, head + std::move(body));
+    if (last) return drop(conn, true);
+    c.open = false, c.since = now;
+    c.in.next();
+    due_at(conn, c, now + idle_most);
+    if (std::exchange(c.held, false)) wires_.hold(conn, false);
+    if (!c.behind.empty()) resume_.insert(conn);
+}
+void Clients::resume(Time now) {
+    for (auto conn : std::exchange(resume_, {}))
+        if (auto it = clients_.find(conn); it != clients_.end())
+            read(now, conn, std::exchange(it->second.behind, {}));
+}
+void Clients::refuse(Time now, ConnId conn, unsigned status, const char *why) {
+    clients_.at(conn).last = true;
+    send(now, conn, status, "Content-Type: text/plain\r\n", std::string(why) + "\n");
+}
+void Clients::answer(Time now, ConnId conn, std::string body) { send(now, conn, 200, "", std::move(body)); }
+void Clients::deny(Time now, ConnId conn, Time come_back_after) {
+    char wait[64] = "";
+    if (come_back_after > 0) std::snprintf(wait, sizeof wait, "Retry-After: %.3f\r\n", seconds(come_back_after));
+    send(now, conn, 503, wait, "");
+}
+void Clients::error(Time now, ConnId conn) { send(now, conn, 502, "", ""); }
+
+void Clients::close_idle() {
+    std::vector<ConnId> idle;
+    for (auto &[id, c] : clients_)
+        if (!c.open) idle.push_back(id);
+    for (auto id : idle) drop(id, false);
+}
+void Clients::tick(Time now) {
+    while (!due_.empty() && due_.begin()->first <= now) {
+        auto conn = due_.begin()->second;
+        if (clients_.at(conn).in.state() == http::State::empty)
+            drop(conn, false);
+        else
+            refuse(now, conn, 408, "the request does not come to an end");
+    }
+}
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/clients.hpp
@@ -0,0 +1,97 @@
+// Clients' connections, without I/O: requests in, one at a time on each connection, and one answer to each. What can't
+// be a request gets an error at once and its connection is closed.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "core/time.hpp"
+#include "http/decoder.hpp"
+#include "platform/pools.hpp"
+#include "platform/wires.hpp"
+
+namespace knotvane::platform {
+
+// What clients tell. A request that came is answered once, by its connection, unless it left before.
+class RequestsTold {
+  public:
+    virtual ~RequestsTold() = default;
+    virtual void request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
+                              KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
+                              std::shared_ptr<const Work> work) = 0;
+    virtual void request_left(Time now, ConnId client) = 0;
+    // Whether the scheduler may be put to use.
+    virtual bool serves() const = 0;
+};
+
+class Clients {
+  public:
+    // `workloads`, `plans`: names in the order of their ids. `most`: connections at once.
+    Clients(Wires &wires, RequestsTold &told, Conns &conns, std::vector<std::string> workloads,
+            std::vector<std::string> plans, std::size_t most);
+
+    bool owns(ConnId conn) const { return clients_.contains(conn); }
+    // A connection that was accepted; one in excess makes the least useful one go.
+    ConnId came(Time now);
+    void bytes(Time now, ConnId conn, std::string_view in);
+    void gone(Time now, ConnId conn);
+
+    // The answers: a node's body; trying again is harmless, and when (0: untold); failed.
+    void answer(Time now, ConnId conn, std::string body);
+    void deny(Time now, ConnId conn, Time come_back_after);
+    void error(Time now, ConnId conn);
+
+    // From now on each answer is its connection's last; idle connections go when `close_idle` is called.
+    void stop() { stopping_ = true; }
+    void close_idle();
+    // Reads on where something came behind a request that has its answer now; not from within a decision.
+    void resume(Time now);
+    bool resumes() const { return !resume_.empty(); }
+    std::size_t open() const { return clients_.size(); }
+    Time next_due() const { return due_.empty() ? std::numeric_limits<Time>::max() : due_.begin()->first; }
+    void tick(Time now);
+
+  private:
+    // Heads here are some hundred bytes; bodies 64 KiB at most, by the protocol.
+    static constexpr std::size_t most_head = 8 << 10, most_body = 64 << 10;
+    struct Client {
+        http::Decoder in{http::Side::requests, most_head, most_body};
+        Time due = 0, since = 0; // since: it came, or its last answer left
+        bool heard = false, open = false, last = false, held = false;
+        std::string behind; // what came while a request was open
+    };
+    void read(Time now, ConnId conn, std::string_view in);
+    // Gives back the status of a refusal and why, 0 where the request was told.
+    std::pair<unsigned, const char *> request(Time now, ConnId conn, Client &c);
+    void send(Time now, ConnId conn, unsigned status, const std::string &headers, std::string body);
+    void refuse(Time now, ConnId conn, unsigned status, const char *why);
+    void due_at(ConnId conn, Client &c, Time at);
+    void drop(ConnId conn, bool when_sent);
+    void shed(Time now);
+    void remember(std::uint64_t trace);
+
+    Wires &wires_;
+    RequestsTold &told_;
+    Conns &conns_;
+    std::map<std::string, WorkloadId, std::less<>> workloads_;
+    std::map<std::string, PlanId, std::less<>> plans_;
+    std::size_t most_;
+    std::map<ConnId, Client> clients_;
+    std::set<std::pair<Time, ConnId>> due_;
+    std::set<ConnId> resume_;
+    std::unordered_set<std::uint64_t> traces_; // of open requests and of the last before them, hashed
+    std::deque<std::uint64_t> last_traces_;
+    bool stopping_ = false;
+};
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/core.cpp
@@ -0,0 +1,176 @@
+#include "platform/core.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "wire/setup.hpp"
+
+namespace knotvane::platform {
+namespace {
+
+constexpr Time never = std::numeric_limits<Time>::max();
+// Connections keep coming for 0.4 s after a stop began; then idle ones are closed.
+constexpr Time stop_listens = 600 * ms;
+// Descriptors for all that is neither a client nor a node: the loop's, the log's, discovery's, and those of
+// connections that are ending.
+constexpr std::size_t spare_sockets = 32;
+// The part of the others for nodes: the window keeps shots few, clients come in any number.
+std::size_t for_nodes(std::size_t sockets) { return (sockets - spare_sockets / 2) / 3; }
+std::size_t for_clients(std::size_t sockets) {
+    auto taken = for_nodes(sockets) + spare_sockets;
+    return sockets > taken ? sockets - taken : 1;
+}
+
+} // namespace
+
+Core::Core(Wires &wires, const std::function<std::unique_ptr<Scheduler>(Actions &)> &scheduler,
+           const wire::Options &settings, std::vector<std::string> workloads, std::vector<std::string> plans,
+           std::vector<std::string> zones, std::uint64_t seed, std::size_t sockets)
+    : wires_(wires), clients_(wires, *this, conns_, std::move(workloads), std::move(plans), for_clients(sockets)),
+      pools_(wires, *this, conns_, settings.time("Permissions.ConnectTimeoutS"), settings.time("Permissions.ConnIdleS"),
+             for_nodes(sockets)),
+      discovery_(wires, *this, conns_, std::move(zones), seed), scheduler_(scheduler(*this)) {
+    wire::set_up(*scheduler_, settings);
+}
+
+std::string Core::start(Time now, const std::string &known, const std::string &discovery) {
+    now_ = now;
+    scheduler_->ready(now);
+    auto fault = known.empty() ? std::string() : discovery_.list(now, known);
+    discovery_.watch(now, discovery);
+    return fault;
+}
+void Core::stop(Time now) {
+    if (stopping_) return;
+    stopping_ = true, stop_until_ = now + stop_listens;
+    clients_.stop();
+}
+
+void Core::up(Time now, ConnId conn) {
+    now_ = now;
+    pools_.owns(conn) ? pools_.up(now, conn) : discovery_.up(now, conn);
+}
+void Core::failed(Time now, ConnId conn) {
+    now_ = now;
+    pools_.owns(conn) ? pools_.failed(now, conn) : discovery_.failed(now, conn);
+}
+void Core::bytes(Time now, ConnId conn, std::string_view in) {
+    now_ = now;
+    if (clients_.owns(conn)) return clients_.bytes(now, conn, in);
+    pools_.owns(conn) ? pools_.bytes(now, conn, in) : discovery_.bytes(now, conn, in);
+}
+void Core::gone(Time now, ConnId conn) {
+    now_ = now;
+    if (clients_.owns(conn)) return clients_.gone(now, conn);
+    pools_.owns(conn) ? pools_.gone(now, conn) : discovery_.gone(now, conn);
+}
+
+void Core::settle(Time now) {
+    now_ = now;
+    clients_.tick(now), pools_.tick(now), discovery_.tick(now);
+    // A decision may end a shot at once, which is told like any other outcome; a few rounds do.
+    for (int round = 0; round < 8; ++round) {
+        while (!overs_.empty()) {
+            Over o = std::move(overs_.front());
+            overs_.pop_front();
+            tell(now, std::move(o));
+        }
+        while (!alarms_.empty() && alarms_.begin()->first <= now) {
+            auto id = alarms_.begin()->second;
+            alarms_.erase(alarms_.begin());
+            scheduler_->alarm(now, id);
+        }
+        clients_.resume(now);
+        scheduler_->settle(now);
+        if (overs_.empty() && !clients_.resumes()) break;
+    }
+    if (listens()) return;
+    clients_.close_idle();
+    over_ = asked_.empty();
+}
+Time Core::next_due() const {
+    Time at = std::min({clients_.next_due(), pools_.next_due(), discovery_.next_due()});
+    if (!alarms_.empty()) at = std::min(at, alarms_.begin()->first);
+    if (!overs_.empty() || clients_.resumes()) at = now_;
+    if (stopping_) at = std::min(at, std::max(stop_until_, now_ + 20 * ms));
+    return at;
+}
+
+void Core::tell(Time now, Over o) {
+    --tasks_.at(o.task).out;
+    if (o.how == Outcome::answered)
+        if (auto client = end(o.task)) clients_.answer(now, *client, std::move(o.body));
+    scheduler_->shot_ended(now, o.task, o.shot, o.node, o.how, o.took, tasks_.at(o.task).ended, -1, 0, {});
+    forget_if_done(o.task);
+}
+// The task needs no answer any more; gives who is owed one, if anybody still is.
+std::optional<ConnId> Core::end(TaskId task) {
+    auto it = tasks_.find(task);
+    if (it == tasks_.end() || it->second.ended) return std::nullopt;
+    it->second.ended = true;
+    asked_.erase(it->second.client);
+    return it->second.client;
+}
+void Core::forget_if_done(TaskId task) {
+    auto it = tasks_.find(task);
+    if (it != tasks_.end() && it->second.ended && it->second.out == 0) tasks_.erase(it);
+}
+
+void Core::shoot(TaskId task, NodeId node, Time time_out) {
+    Task &t = tasks_.at(task);
+    ShotId shot{t.shots++};
+    ++t.out;
+    pools_.shoot(now_, task, shot, node, t.work, time_out > 0 ? std::min(t.until, now_ + time_out) : t.until);
+}
+void Core::call_off(TaskId task, ShotId shot) { pools_.call_off(now_, task, shot); }
+void Core::deny(TaskId task, Time come_back_after) {
+    if (auto client = end(task)) clients_.deny(now_, *client, come_back_after);
+    forget_if_done(task);
+}
+void Core::error(TaskId task) {
+    if (auto client = end(task)) clients_.error(now_, *client);
+    forget_if_done(task);
+}
+void Core::probe(NodeId) { wires_.say("a probe was asked for, which this front does not make"); }
+void Core::tell_all(std::string_view) { wires_.say("a message to peers was asked for, which this front does not send"); }
+
+void Core::shot_over(Time, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, std::string body) {
+    overs_.push_back({task, shot, node, how, took, std::move(body)});
+}
+void Core::request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
+                        KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
+                        std::shared_ptr<const Work> work) {
+    TaskId id{++last_task_};
+    tasks_.emplace(id, Task{client, std::move(work), client_timeout});
+    asked_[client] = id;
+    scheduler_->task_taken(now, id, workload, volume, plan, shard, key, units, hosts, writes, repeated, client_timeout);
+}
+void Core::request_left(Time now, ConnId client) {
+    auto asked = asked_.find(client);
+    if (asked == asked_.end()) return;
+    auto task = asked->second;
+    end(task);
+    scheduler_->task_withdrawn(now, task, true);
+    forget_if_done(task);
+}
+
+void Core::list_begins(Time now, ListKind kind) {
+    left_out_ = kind == ListKind::whole ? nodes_ : std::set<NodeId>();
+    scheduler_->list_begins(now, kind);
+}
+void Core::node_listed(NodeId node, const std::string &address, ShardId shard, ZoneId zone, NodeState state,
+                       Time started) {
+    left_out_.erase(node);
+    if (state == NodeState::gone)
+        pools_.node_gone(node), nodes_.erase(node);
+    else
+        pools_.node_at(node, address), nodes_.insert(node);
+    scheduler_->node_listed(node, shard, zone, state, started);
+}
+void Core::list_ends() {
+    for (auto node : left_out_) pools_.node_gone(node), nodes_.erase(node);
+    scheduler_->list_ends();
+}
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/core.hpp
@@ -0,0 +1,110 @@
+// The front at work, without I/O: clients, shots, discovery and the decisions. Bytes and time in, bytes and calls out.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "platform/clients.hpp"
+#include "platform/discovery.hpp"
+#include "platform/pools.hpp"
+#include "platform/wires.hpp"
+#include "policy.hpp"
+#include "wire/options.hpp"
+
+namespace knotvane::platform {
+
+class Core final : public Actions, public ShotsTold, public RequestsTold, public ListTold {
+  public:
+    // `sockets`: descriptors the process may hold. Throws wire::Malformed on settings that are wrong.
+    Core(Wires &wires, const std::function<std::unique_ptr<Scheduler>(Actions &)> &scheduler,
+         const wire::Options &settings, std::vector<std::string> workloads, std::vector<std::string> plans,
+         std::vector<std::string> zones, std::uint64_t seed, std::size_t sockets);
+
+    // Once, first: the list as last had, empty for none; then the watch. Gives back why a list was refused.
+    std::string start(Time now, const std::string &known, const std::string &discovery);
+    void discovery_at(Time now, const std::string &address) { discovery_.watch(now, address); }
+    // Serves what comes until the stop is over: then nothing is open any more.
+    void stop(Time now);
+    bool over() const { return over_; }
+    // Whether connections are still to be accepted.
+    bool listens() const { return !stopping_ || now_ < stop_until_; }
+
+    ConnId client_came(Time now) { return clients_.came(now); }
+    void up(Time now, ConnId conn);
+    void failed(Time now, ConnId conn);
+    void bytes(Time now, ConnId conn, std::string_view in);
+    void gone(Time now, ConnId conn);
+    void written(Time now, ConnId conn, std::size_t bytes) { pools_.written(now, conn, bytes); }
+    // At the end of a moment: what is due, then the outcomes, then the decisions.
+    void settle(Time now);
+    Time next_due() const;
+
+    const Clients &clients() const { return clients_; }
+    const Pools &pools() const { return pools_; }
+    std::size_t tasks() const { return tasks_.size(); }
+
+    void shoot(TaskId task, NodeId node, Time time_out) override;
+    void call_off(TaskId task, ShotId shot) override;
+    void deny(TaskId task, Time come_back_after) override;
+    void error(TaskId task) override;
+    void set_alarm(AlarmId alarm, Time wait) override { alarms_.insert({now_ + wait, alarm}); }
+    void follow_list() override {} // the watch always stands or is being set up
+    void ask_list() override {}
+    void probe(NodeId node) override;
+    void tell_all(std::string_view text) override;
+    void note(std::string_view text) override { wires_.say(std::string(text)); }
+
+    void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, std::string body) override;
+    void request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
+                      KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
+                      std::shared_ptr<const Work> work) override;
+    void request_left(Time now, ConnId client) override;
+    bool serves() const override { return discovery_.listed() && !stopping_; }
+    void list_begins(Time now, ListKind kind) override;
+    void node_listed(NodeId node, const std::string &address, ShardId shard, ZoneId zone, NodeState state,
+                     Time started) override;
+    void list_ends() override;
+
+  private:
+    struct Task {
+        ConnId client;
+        std::shared_ptr<const Work> work;
+        Time until;
+        std::uint32_t shots = 0, out = 0;
+        bool ended = false;
+    };
+    struct Over {
+        TaskId task;
+        ShotId shot;
+        NodeId node;
+        Outcome how;
+        Time took;
+        std::string body;
+    };
+    void tell(Time now, Over o);
+    std::optional<ConnId> end(TaskId task);
+    void forget_if_done(TaskId task);
+
+    Wires &wires_;
+    Conns conns_;
+    Clients clients_;
+    Pools pools_;
+    Discovery discovery_;
+    std::unique_ptr<Scheduler> scheduler_;
+    std::map<TaskId, Task> tasks_;
+    std::map<ConnId, TaskId> asked_; // open requests by their connection
+    std::deque<Over> overs_;         // told at the end of the moment: the decisions are not called from within
+    std::set<std::pair<Time, AlarmId>> alarms_;
+    std::set<NodeId> nodes_, left_out_; // listed; of these, not named so far by the whole list being told
+    std::uint64_t last_task_ = 0;
+    Time now_ = 0, stop_until_ = 0;
+    bool stopping_ = false, over_ = false;
+};
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/ids.hpp
@@ -0,0 +1,20 @@
+// Ids of the platform's front.
+#pragma once
+
+#include "core/ids.hpp"
+
+namespace knotvane::platform {
+
+// A connection of any kind, never used again.
+using ConnId = Id<struct ConnKind, std::uint64_t>;
+
+// Gives out the ids of connections.
+class Conns {
+  public:
+    ConnId next() { return ConnId{++last_}; }
+
+  private:
+    std::uint64_t last_ = 0;
+};
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/pools.cpp
@@ -0,0 +1,192 @@
+#include "platform/pools.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace knotvane::platform {
+namespace {
+
+// A node's heads are a few hundred bytes and its bodies 64 KiB at most, by the protocol.
+constexpr std::size_t most_head = 8 << 10, most_body = 64 << 10;
+
+std::string request(const Work &w, Time left) {
+    char expires[32];
+    std::snprintf(expires, sizeof expires, "%.6f", seconds(std::max<Time>(left, 0)));
+    std::string out = w.method + " " + w.target + " HTTP/1.1\r\nHost: node\r\nX-Trace-Id: " + w.trace +
+                      "\r\nX-Expires-In: " + expires + "\r\n";
+    if (!w.mark.empty()) out += "Idempotency-Key: " + w.mark + "\r\n";
+    if (w.method != "GET") out += "Content-Length: " + std::to_string(w.body.size()) + "\r\n";
+    return out += "\r\n" + w.body;
+}
+
+} // namespace
+
+Pools::Pools(Wires &wires, ShotsTold &told, Conns &conns, Time connect, Time idle, std::size_t most)
+    : wires_(wires), told_(told), conns_(conns), connect_(connect),
+      // A tenth and a quarter second before the node would: a request written as it closes is a reset.
+      idle_(std::max<Time>(idle - idle / 10 - 250 * ms, 0)), most_(std::max<std::size_t>(most, 1)) {}
+
+void Pools::node_at(NodeId node, const std::string &address) {
+    Peer &peer = peers_[node];
+    if (peer.address == address) return;
+    node_gone(node);
+    peers_[node].address = address;
+}
+void Pools::node_gone(NodeId node) {
+    auto it = peers_.find(node);
+    if (it == peers_.end()) return;
+    for (auto conn : std::vector<ConnId>(it->second.idle)) drop(conn);
+    for (auto &[id, link] : links_)
+        if (link.node == node) link.leaving = true;
+    it->second.address.clear();
+    if (it->second.links == 0) peers_.erase(it);
+}
+
+// Closes the idle connection that is next to be closed anyway.
+bool Pools::make_room() {
+    if (links_.size() < most_) return true;
+    for (auto &[at, conn] : due_)
+        if (auto &link = links_.at(conn); link.up && !link.busy) {
+            drop(conn);
+            return true;
+        }
+    return false;
+}
+
+void Pools::shoot(Time now, TaskId task, ShotId shot, NodeId node, std::shared_ptr<const Work> work, Time until) {
+    ShotKey key{task, shot};
+    auto peer = peers_.find(node);
+    if (until <= now || peer == peers_.end() || peer->second.address.empty())
+        return told_.shot_over(now, task, shot, node, Outcome::unsent, 0, {});
+    Shot &s = shots_[key] = Shot{node, {}, std::move(work), now, until};
+    auto &idle = peer->second.idle;
+    if (!idle.empty()) {
+        s.conn = idle.back();
+        idle.pop_back();
+        Link &link = links_.at(s.conn);
+        link.busy = true, link.shot = key;
+        return give(now, s.conn, link);
+    }
+    if (!make_room()) return over(now, key, Outcome::unsent);
+    s.conn = conns_.next();
+    Link &link = links_
+                     .emplace(s.conn, Link{node, peer->second.address, false, false, true, key, 0, false, 0, now,
+                                           http::Decoder(http::Side::answers, most_head, most_body)})
+                     .first->second;
+    ++peer->second.links;
+    due_at(s.conn, link, std::min(now + connect_, until));
+    wires_.connect(s.conn, link.address);
+}
+// Hands the request of the shot to its connection.
+void Pools::give(Time now, ConnId conn, Link &link) {
+    Shot &s = shots_.at(link.shot);
+    auto bytes = request(*s.work, s.until - now);
+    link.to_write = bytes.size(), link.handed = true;
+    link.in.next();
+    due_at(conn, link, s.until);
+    wires_.send(conn, std::move(bytes));
+}
+void Pools::call_off(Time now, TaskId task, ShotId shot) {
+    auto it = shots_.find({task, shot});
+    if (it == shots_.end()) return;
+    drop(it->second.conn);
+    over(now, {task, shot}, Outcome::called_off);
+}
+void Pools::over(Time now, const ShotKey &key, Outcome how, std::string body) {
+    auto it = shots_.find(key);
+    Shot s = std::move(it->second);
+    shots_.erase(it);
+    told_.shot_over(now, key.first, key.second, s.node, how, now - s.began, std::move(body));
+}
+void Pools::drop(ConnId conn, bool close) {
+    auto it = links_.find(conn);
+    Link &link = it->second;
+    due_.erase({link.due, conn});
+    if (auto p = peers_.find(link.node); p != peers_.end()) {
+        std::erase(p->second.idle, conn);
+        if (--p->second.links == 0 && p->second.address.empty()) peers_.erase(p);
+    }
+    links_.erase(it);
+    if (close) wires_.close(conn, false);
+}
+void Pools::due_at(ConnId conn, Link &link, Time at) {
+    due_.erase({link.due, conn});
+    link.due = at;
+    due_.insert({at, conn});
+}
+void Pools::rest(Time now, ConnId conn, Link &link) {
+    link.busy = link.handed = false;
+    link.in.next();
+    due_at(conn, link, now + idle_);
+    peers_.at(link.node).idle.push_back(conn);
+}
+
+void Pools::up(Time now, ConnId conn) {
+    auto it = links_.find(conn);
+    if (it == links_.end()) return;
+    it->second.up = true;
+    give(now, conn, it->second);
+}
+void Pools::failed(Time now, ConnId conn) {
+    auto it = links_.find(conn);
+    if (it == links_.end()) return;
+    auto key = it->second.shot;
+    drop(conn, false);
+    over(now, key, Outcome::unreachable);
+}
+void Pools::gone(Time now, ConnId conn) {
+    auto it = links_.find(conn);
+    if (it == links_.end()) return;
+    bool busy = it->second.busy, whole = it->second.handed && it->second.to_write == 0;
+    auto key = it->second.shot;
+    drop(conn, false);
+    // Before its last byte has left, the node can't have begun it.
+    if (busy) over(now, key, whole ? Outcome::reset : Outcome::unreachable);
+}
+void Pools::written(Time, ConnId conn, std::size_t bytes) {
+    auto it = links_.find(conn);
+    if (it != links_.end()) it->second.to_write -= std::min(bytes, it->second.to_write);
+}
+
+void Pools::bytes(Time now, ConnId conn, std::string_view in) {
+    auto it = links_.find(conn);
+    if (it == links_.end()) return;
+    Link &link = it->second;
+    // Nothing was asked: whatever this is, it must not be taken for the next one's answer.
+    if (!link.busy) return drop(conn);
+    in.remove_prefix(link.in.take(in));
+    auto state = link.in.state();
+    if (state != http::State::whole && state != http::State::broken) return;
+    auto key = link.shot;
+    Outcome how = Outcome::error;
+    std::string body;
+    bool keep = false;
+    if (state == http::State::whole) {
+        auto status = link.in.status();
+        if (status == 200)
+            how = Outcome::answered, body = link.in.take_body();
+        else if ((status == 503 || status == 504) && link.in.header("X-Never-Ran") == "1")
+            how = Outcome::full;
+        keep = in.empty() && link.in.keeps_open() && !link.leaving && link.to_write == 0;
+    }
+    if (keep)
+        rest(now, conn, link);
+    else
+        drop(conn);
+    over(now, key, how, std::move(body));
+}
+
+void Pools::tick(Time now) {
+    while (!due_.empty() && due_.begin()->first <= now) {
+        auto conn = due_.begin()->second;
+        Link &link = links_.at(conn);
+        bool busy = link.busy, handed = link.handed, up = link.up;
+        auto key = link.shot;
+        drop(conn);
+        if (!busy) continue;
+        over(now, key, handed ? Outcome::timed_out : up || shots_.at(key).until <= now ? Outcome::unsent : Outcome::unreachable);
+    }
+}
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/pools.hpp
@@ -0,0 +1,103 @@
+// Connections to nodes, without I/O: one request at a time on each, the last used first. Every outcome comes from the
+// event that it names.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/time.hpp"
+#include "http/decoder.hpp"
+#include "platform/wires.hpp"
+#include "policy.hpp"
+
+namespace knotvane::platform {
+
+// What is asked of a node; the same for each shot of a task. The head is written anew for each shot.
+struct Work {
+    std::string method, target, trace, mark, body; // mark: the Idempotency-Key, empty for none
+};
+
+// What pools tell. `body`: of an answer.
+class ShotsTold {
+  public:
+    virtual ~ShotsTold() = default;
+    virtual void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took,
+                           std::string body) = 0;
+};
+
+class Pools {
+  public:
+    // A connection that takes longer than `connect` failed; one idle for `idle` is closed by the node, so it is
+    // closed here a margin before. `most`: connections to all nodes together.
+    Pools(Wires &wires, ShotsTold &told, Conns &conns, Time connect, Time idle, std::size_t most);
+
+    // Where a node listens; connections to where it was before are not used any more.
+    void node_at(NodeId node, const std::string &address);
+    // A node that is gone: shots out there go on, idle connections are closed.
+    void node_gone(NodeId node);
+    // Until `until` its outcome may come; then it is timed_out, or unsent where no byte went out.
+    void shoot(Time now, TaskId task, ShotId shot, NodeId node, std::shared_ptr<const Work> work, Time until);
+    // Closes its connection before it is told.
+    void call_off(Time now, TaskId task, ShotId shot);
+
+    bool owns(ConnId conn) const { return links_.contains(conn); }
+    void up(Time now, ConnId conn);
+    void failed(Time now, ConnId conn);
+    void bytes(Time now, ConnId conn, std::string_view in);
+    void gone(Time now, ConnId conn);
+    void written(Time now, ConnId conn, std::size_t bytes);
+
+    Time next_due() const { return due_.empty() ? std::numeric_limits<Time>::max() : due_.begin()->first; }
+    void tick(Time now);
+    std::size_t open() const { return links_.size(); }
+    std::size_t shots_out() const { return shots_.size(); }
+
+  private:
+    using ShotKey = std::pair<TaskId, ShotId>;
+    struct Link {
+        NodeId node;
+        std::string address;
+        bool up = false, leaving = false;
+        bool busy = false;
+        ShotKey shot{};
+        std::size_t to_write = 0; // of the shot's request, bytes that have not left
+        bool handed = false;      // the request was given to the shell
+        Time due = 0, opened = 0;
+        http::Decoder in;
+    };
+    struct Shot {
+        NodeId node;
+        ConnId conn;
+        std::shared_ptr<const Work> work;
+        Time began, until;
+    };
+    struct Peer {
+        std::string address;
+        std::vector<ConnId> idle; // the last used last
+        std::size_t links = 0;
+    };
+    void give(Time now, ConnId conn, Link &link);
+    void over(Time now, const ShotKey &key, Outcome how, std::string body = {});
+    void drop(ConnId conn, bool close = true);
+    void rest(Time now, ConnId conn, Link &link);
+    void due_at(ConnId conn, Link &link, Time at);
+    bool make_room();
+
+    Wires &wires_;
+    ShotsTold &told_;
+    Conns &conns_;
+    Time connect_, idle_;
+    std::size_t most_;
+    std::map<ConnId, Link> links_;
+    std::map<NodeId, Peer> peers_;
+    std::map<ShotKey, Shot> shots_;
+    std::set<std::pair<Time, ConnId>> due_;
+};
+
+} // namespace knotvane::platform
--- /dev/null
+++ b/src/platform/server.cpp
@@ -0,0 +1,92 @@
+#include "platform/server.hpp"
+
+#include <algorithm>
+
+#include "log/log.hpp"
+#include "settings/ini.hpp"
+
+namespace knotvane::platform {
+
+Server::Server(loop::Loop &loop, std::string path, const Config &config,
+               const std::function<std::unique_ptr<Scheduler>(Actions &, std::uint64_t)> &scheduler)
+    : loop_(loop), path_(std::move(path)) {
+    core_ = std::make_unique<Core>(
+        *this, [&](Actions &a) { return scheduler(a, config.seed()); }, config.settings(), config.names("Classes"),
+        config.names("Contracts"), config.names("Zones"), config.seed(), config.sockets());
+    if (auto fault = core_->start(loop::now(), config.known(), config.discovery()); !fault.empty())
+        say("known: " + fault);
+    listener_ = std::make_unique<loop::Listener>(loop_, config.listen(), [this](std::shared_ptr<loop::Socket> s) {
+        auto conn = core_->client_came(loop::now());
+        carry(conn, s);
+        s->start();
+    });
+    address_ = listener_->address();
+    loop_.at_end([this] { return end_of_moment(); });
+}
+Server::~Server() { loop_.at_end(nullptr); }
+
+void Server::carry(ConnId conn, const std::shared_ptr<loop::Socket> &s) {
+    sockets_.add(conn, s);
+    s->on_bytes = [this, conn](std::string_view in) { core_->bytes(loop::now(), conn, in); };
+    s->on_written = [this, conn](std::size_t n) { core_->written(loop::now(), conn, n); };
+    s->on_gone = [this, conn] {
+        sockets_.remove(conn);
+        core_->gone(loop::now(), conn);
+    };
+}
+void Server::connect(ConnId conn, const std::string &address) {
+    auto s = std::make_shared<loop::Socket>(loop_);
+    carry(conn, s);
+    s->connect(address, [this, conn](bool well) {
+        if (!sockets_.find(conn)) return;
+        if (well) return core_->up(loop::now(), conn);
+        sockets_.remove(conn)->close();
+        core_->failed(loop::now(), conn);
+    });
+}
+void Server::close(ConnId conn, bool when_sent) {
+    auto s = sockets_.remove(conn);
+    if (!s) return;
+    if (when_sent) return s->close_when_sent();
+    // What was gathered and is not wanted any more must not leave.
+    s->close(s->has_pending());
+}
+void Server::hold(ConnId conn, bool hold) {
+    if (auto s = sockets_.find(conn)) s->hold(hold);
+}
+void Server::say(std::string text) { log::line(log::warn, text); }
+
+void Server::stop() {
+    log::line(log::info, "stopping");
+    core_->stop(loop::now());
+}
+void Server::reload() {
+    std::string fault;
+    auto text = settings::File::slurp(path_, fault);
+    try {
+        if (!fault.empty()) throw wire::Malformed(fault);
+        Config config(text);
+        core_->discovery_at(loop::now(), config.discovery());
+        log::line(log::info, "configuration read again", {{"discovery", config.discovery()}});
+    } catch (const wire::Malformed &e) {
+        log::line(log::error, "configuration refused, the last one stays", {{"fault", e.what()}});
+    }
+}
+
+Time Server::end_of_moment() {
+    // What was written makes room for more, which is sent in the same moment; a few rounds do.
+    for (int round = 0; round < 4; ++round) {
+        core_->settle(loop::now());
+        if (!sockets_.has_out()) break;
+        sockets_.flush();
+    }
+    if (listener_ && !core_->listens()) listener_.reset();
+    if (!core_->over()) return core_->next_due();
+    // The last answers are still to leave.
+    constexpr Time leave = 100 * ms;
+    if (ends_ == 0) ends_ = loop::now() + leave;
+    if (loop::now() >= ends_) loop_.stop();
+    return std::min(ends_, core_->next_due());
+}
+
+} // namespace knotvane::platform
