Serve on while stopping, until just before the kill; end connections with their answers

At fault: Core::stop, which closed idle connections and ended after 0.6 s. It serves on now until the longest client timeout and 0.55 s after it was told; the kill comes 0.7 s after that timeout at the soonest. Tried and dropped: closing idle connections at the end (one request crossed that and was lost, with and without listening on). Now connections end with their answers in the last half second.

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -230,19 +230,15 @@
 }
 void Clients::error(Time now, ConnId conn) { send(now, conn, 502, "", ""); }
 
-void Clients::close_idle() {
-    std::vector<ConnId> idle;
-    for (auto &[id, c] : clients_)
-        if (!c.open) idle.push_back(id);
-    for (auto id : idle) drop(id, false);
-}
 void Clients::tick(Time now) {
     while (!due_.empty() && due_.begin()->first <= now) {
         auto conn = due_.begin()->second;
-        if (clients_.at(conn).in.state() == http::State::empty) {
-            if (wires_.traces()) wires_.trace(std::string("idle heard=") + (clients_.at(conn).heard ? "1" : "0"));
+        Client &c = clients_.at(conn);
+        if (c.in.state() == http::State::empty && c.heard && keep_idle_)
+            due_at(conn, c, now + idle_most);
+        else if (c.in.state() == http::State::empty)
             drop(conn, false);
-        } else
+        else
             refuse(now, conn, 408, "the request does not come to an end");
     }
 }
--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -51,9 +51,10 @@
     void deny(Time now, ConnId conn, Time come_back_after);
     void error(Time now, ConnId conn);
 
-    // From now on each answer is its connection's last; idle connections go when `close_idle` is called.
+    // From now on connections without a request stay, however long they are idle.
+    void keep_idle() { keep_idle_ = true; }
+    // From now on each answer is its connection's last.
     void stop() { stopping_ = true; }
-    void close_idle();
     // Reads on where something came behind a request that has its answer now; not from within a decision.
     void resume(Time now);
     bool resumes() const { return !resume_.empty(); }
@@ -91,7 +92,7 @@
     std::set<ConnId> resume_;
     std::unordered_set<std::uint64_t> traces_; // of open requests and of the last before them, hashed
     std::deque<std::uint64_t> last_traces_;
-    bool stopping_ = false;
+    bool keep_idle_ = false, stopping_ = false;
 };
 
 } // namespace knotvane::platform
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -9,8 +9,10 @@
 namespace knotvane::platform {
 namespace {
 
-// Connections keep coming for 0.4 s after a stop began; then idle ones are closed.
-constexpr Time stop_listens = 600 * ms;
+// A stopping scheduler is killed no sooner than the longest client timeout (3 s at most) and 0.7 s after it was told.
+// What is taken is answered well before, with time for a throttled processor; connections keep coming for 0.4 s.
+constexpr Time killed_after = 700 * ms, longest_counted = 3 * sec, margin = 150 * ms, last_requests = 500 * ms,
+               keep_coming = 500 * ms;
 // Good answers of 400 KB came in 1.5 ms from their first byte to their last; those that stopped never went on.
 constexpr Time stall = 50 * ms;
 // Descriptors for all that is neither a client nor a node: the loop's, the log's, discovery's, and those of
@@ -33,6 +35,8 @@
              stall, for_nodes(sockets)),
       discovery_(wires, *this, conns_, std::move(zones), seed), scheduler_(scheduler(*this)) {
     wire::set_up(*scheduler_, settings);
+    for (std::uint32_t i = 0; i < settings.count("Classes.count"); ++i)
+        longest_ = std::max(longest_, settings.time("Classes." + std::to_string(i) + ".DeadlineS"));
 }
 
 std::string Core::start(Time now, const std::string &known, const std::string &discovery) {
@@ -44,8 +48,11 @@
 }
 void Core::stop(Time now) {
     if (stopping_) return;
-    stopping_ = true, stop_until_ = now + stop_listens;
-    clients_.stop();
+    stopping_ = true;
+    ends_ = now + std::min(longest_, longest_counted) + killed_after - margin;
+    last_calls_ = std::max(ends_ - last_requests, now + keep_coming);
+    ends_ = std::max(ends_, last_calls_ + last_requests);
+    clients_.keep_idle();
 }
 
 void Core::up(Time now, ConnId conn) {
@@ -87,7 +94,10 @@
         scheduler_->settle(now);
         if (overs_.empty() && !clients_.resumes()) break;
     }
-    if (!listens()) clients_.close_idle(), over_ = asked_.empty();
+    // Connections end with their answers. One that is idle is not closed here: a request that crosses that is lost, as
+    // its client can make no other connection any more. With each request taking one with it, few are left at the end.
+    if (stopping_ && now >= last_calls_) clients_.stop();
+    over_ = stopping_ && now >= last_calls_ && asked_.empty() && (clients_.open() == 0 || now >= ends_);
     due_ = next_due();
 }
 // Ten times a second: how late the loop came to what was due, and what is believed to be out against what is.
@@ -105,7 +115,7 @@
     Time at = std::min({clients_.next_due(), pools_.next_due(), discovery_.next_due()});
     if (!alarms_.empty()) at = std::min(at, alarms_.begin()->first);
     if (!overs_.empty() || clients_.resumes()) at = now_;
-    if (stopping_) at = std::min(at, std::max(stop_until_, now_ + 20 * ms));
+    if (stopping_) at = std::min(at, std::max(last_calls_, now_ + 20 * ms));
     return at;
 }
 
@@ -159,6 +169,7 @@
 void Core::request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
                         KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
                         std::shared_ptr<const Work> work) {
+    if (stopping_) client_timeout = std::min(client_timeout, ends_);
     TaskId id{++last_task_};
     tasks_.emplace(id, Task{client, std::move(work), client_timeout});
     asked_[client] = id;
--- a/src/platform/core.hpp
+++ b/src/platform/core.hpp
@@ -29,11 +29,10 @@
     // Once, first: the list as last had, empty for none; then the watch. Gives back why a list was refused.
     std::string start(Time now, const std::string &known, const std::string &discovery);
     void discovery_at(Time now, const std::string &address) { discovery_.watch(now, address); }
-    // Serves what comes until the stop is over: then nothing is open any more.
+    // Serves on, on the connections that there are, for as long as may be: who sits behind them has no other way to
+    // a node until this scheduler is back. Everything is answered before it may be killed.
     void stop(Time now);
     bool over() const { return over_; }
-    // Whether connections are still to be accepted.
-    bool listens() const { return !stopping_ || now_ < stop_until_; }
 
     ConnId client_came(Time now) { return clients_.came(now); }
     void up(Time now, ConnId conn);
@@ -108,7 +107,7 @@
     std::map<NodeId, std::size_t> counted_; // shots that the decisions count out, by node; for the trace
     Time traced_ = 0, due_ = never;
     std::uint64_t last_task_ = 0;
-    Time now_ = 0, stop_until_ = 0;
+    Time now_ = 0, longest_ = 0, last_calls_ = 0, ends_ = 0; // of a stop: no new requests, and all are answered
     bool stopping_ = false, over_ = false;
 };
 
--- a/src/platform/server.cpp
+++ b/src/platform/server.cpp
@@ -81,7 +81,6 @@
         if (!sockets_.has_out()) break;
         sockets_.flush();
     }
-    if (listener_ && !core_->listens()) listener_.reset();
     if (!core_->over()) return core_->next_due();
     // The last answers are still to leave.
     constexpr Time leave = 100 * ms;
