--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -64,15 +64,15 @@
                       PRIVATE PkgConfig::xxhash nlohmann_json::nlohmann_json)
 add_library(knotvane_day src/day/day.cpp src/day/outage.cpp src/day/passthrough.cpp src/relay/relay.cpp)
 target_link_libraries(knotvane_day PUBLIC knotvane_fleet knotvane_driver knotvane_figures PRIVATE knotvane_log)
-add_executable(knotvane src/cli/main.cpp src/cli/local.cpp src/cli/load.cpp src/cli/days.cpp src/cli/planner.cpp src/cli/snapshots.cpp src/cli/store.cpp)
-target_link_libraries(knotvane PRIVATE knotvane_day knotvane_log CLI11::CLI11 nlohmann_json::nlohmann_json)
+add_executable(knotvane src/cli/main.cpp src/cli/local.cpp src/cli/load.cpp src/cli/days.cpp src/cli/planner.cpp src/cli/snapshots.cpp src/cli/store.cpp src/cli/trace.cpp)
+target_link_libraries(knotvane PRIVATE knotvane_platform knotvane_day knotvane_log CLI11::CLI11 nlohmann_json::nlohmann_json)
 # The parser has no module of its own to be found by; its archive where there is one.
 find_library(http_parser_lib NAMES libhttp_parser.a http_parser REQUIRED)
 add_library(knotvane_http src/http/decoder.cpp)
 target_include_directories(knotvane_http PUBLIC src)
 target_link_libraries(knotvane_http PRIVATE ${http_parser_lib})
 add_library(knotvane_platform src/platform/clients.cpp src/platform/config.cpp src/platform/core.cpp
-            src/platform/discovery.cpp src/platform/pools.cpp)
+            src/platform/discovery.cpp src/platform/pools.cpp src/platform/trace.cpp)
 target_link_libraries(knotvane_platform PUBLIC knotvane_setup knotvane_http PRIVATE nlohmann_json::nlohmann_json)
 add_library(knotvane_platform_server src/platform/server.cpp)
 target_link_libraries(knotvane_platform_server PUBLIC knotvane_platform knotvane_loop knotvane_settings PRIVATE knotvane_log)
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -14,5 +14,6 @@
 void add_planner(CLI::App &app, int &code);
 void add_snapshots(CLI::App &app, int &code);
 void add_store(CLI::App &app, int &code);
+void add_trace(CLI::App &app, int &code);
 
 } // namespace knotvane::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,7 @@
     cli::add_planner(app, code);
     cli::add_snapshots(app, code);
     cli::add_store(app, code);
+    cli::add_trace(app, code);
     app.parse_complete_callback([&] { log::start(level, json); });
     try {
         app.parse(argc, argv);
--- a/src/cli/platform.cpp
+++ b/src/cli/platform.cpp
@@ -23,7 +23,7 @@
     app.add_option("--config", config, "configuration (JSON); else what LB_CONFIG names");
     app.add_option("--log", level, "least level of the log")->check(CLI::IsMember({"debug", "info", "warn", "error"}));
     app.add_flag("--log-json", json, "log as JSON lines");
-    app.add_flag("--trace", trace, "log each shot's times and what is counted out; lines that begin with trace");
+    app.add_flag("--trace", trace, "log each shot's times and what is counted out; `knotvane trace` reads it");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &e) {
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -4,6 +4,7 @@
 
 #include "helpers.hpp"
 #include "platform/config.hpp"
+#include "platform/trace.hpp"
 
 using namespace knotvane;
 using namespace knotvane::platform;
@@ -329,6 +330,20 @@
     }
 }
 
+TEST_CASE("a trace tells where what was counted and what was open differ, and what it can't read") {
+    Trace t;
+    for (auto line : {"[1] info trace shot task=1 shot=0 node=2 conn=3 how=0 at=5 connected=100 written=120 first=900 over=950",
+                      "trace shot task=2 shot=0 node=2 conn=3 how=5 at=5 connected=- written=- first=- over=70",
+                      "trace told task=1 shot=0 late=40", "trace late us=2500", "trace node id=2 counted=3 open=1",
+                      "trace node id=2 counted=1 open=1", "serves address=x", "trace shot how=x", "trace node counted=-"})
+        t.line(line);
+    auto r = t.report();
+    for (auto part : {"answered: 1, us 950 in", "begun to be answered: 1; first byte to end: 1, us 50", "reset: 1, us 70",
+                      "new connections: 1, us 100", "looks at a node: 2", "less open connections 2: 1", "could not be read: 2"}) {
+        CAPTURE(part);
+        CHECK(has(r, part));
+    }
+}
 TEST_CASE("configuration: settings at the simulator's paths, names in order, a fault names its field") {
     std::string good = R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
         "limits":{"sockets":256},"settings":{"Classes":[{"Name":"a b","TargetS":0.15},{"Name":"c"}],"Report":{"Columns":[]},
