Shed idle connections before those that just came

Checked: the bound of 656 clients was reached by connections that ask once and stay, the nodes' third was not. At fault: Clients::shed, which took any connection that had said nothing for silent, also one that had just come with its request unread.

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -14,6 +14,8 @@
 // A connection without a request may be closed after 2 s. Some clients ask once and keep theirs for good: kept for long,
 // these left no room for the others' (43 requests of a churn day found no connection, at 10 s).
 constexpr Time idle_least = 2 * sec, idle_most = 2500 * ms;
+// Usual clients send as soon as they are connected; a turn of a throttled loop is well under this.
+constexpr Time speaks_within = 200 * ms;
 // What is read ahead of the open request, so that a client's leaving shows.
 constexpr std::size_t most_behind = 16 << 10;
 // A request's id is fresh. So many are remembered: some ten seconds of a busy scheduler.
@@ -71,15 +73,18 @@
     due_at(conn, c, now + unfinished);
     return conn;
 }
-// Out goes who never said anything, the longest there; else who may be closed for being idle; else who is not done
-// with a head. Usual clients speak as soon as they are here.
+// Out goes who has said nothing for a while, the longest there; else who may be closed for being idle; else who is not
+// done with a head; else any idle one. Who is just here comes last: its request may wait unread. Guards against crowds
+// that ask once and stay, by which usual clients were turned away at the door.
 void Clients::shed(Time now) {
     auto rank = [&](const Client &c) {
-        return c.open ? 4 : !c.heard ? 0 : c.in.state() != http::State::empty ? 2 : now - c.since >= idle_least ? 1 : 3;
+        if (c.open) return 5;
+        if (!c.heard) return now - c.since >= speaks_within ? 0 : 4;
+        return c.in.state() != http::State::empty ? 2 : now - c.since >= idle_least ? 1 : 3;
     };
     auto least = clients_.end();
     for (auto it = clients_.begin(); it != clients_.end(); ++it)
-        if (rank(it->second) < 4 &&
+        if (rank(it->second) < 5 &&
             (least == clients_.end() || std::pair(rank(it->second), it->second.since) <
                                             std::pair(rank(least->second), least->second.since)))
             least = it;
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -221,6 +221,15 @@
         CHECK(f.w.held.empty());
         CHECK(f.w.closed.contains(c)); // what came behind is no request
     }
+    TEST_CASE("past its bound an idle connection goes before one that just came, whose request may wait unread") {
+        Front f;
+        std::vector<ConnId> idle;
+        for (int i = 0; i < 140; ++i) idle.push_back(f.client("GET /healthz HTTP/1.1\r\n\r\n"));
+        std::vector<ConnId> fresh;
+        for (int i = 0; i < 60; ++i) fresh.push_back(f.core.client_came(f.now += us));
+        for (auto c : fresh) CHECK(!f.w.closed.contains(c));
+        CHECK(f.w.closed.contains(idle.front()));
+    }
     TEST_CASE("past its bound of connections the silent go first; one with an open request never does") {
         Front f;
         auto asks = f.client(read_of("t1"));
