--- a/src/http/decoder.hpp
+++ b/src/http/decoder.hpp
@@ -51,8 +51,7 @@
     std::unique_ptr<Parts> parts_;
 };
 
-// A run of [low, high] characters that is a number in whole or with decimals, nothing around it; no exponent, no sign
-// but a minus. Nothing for all else.
+// Digits, with decimals or without, with a minus in front or without, and nothing around them. Nothing for all else.
 std::optional<double> number(std::string_view text);
 // Sixteen hex digits, no more and no fewer.
 std::optional<std::uint64_t> hex16(std::string_view text);
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -102,11 +102,6 @@
     (now_ ? then_ : now_).emplace(make(address));
     dial(now, now_->address == address ? *now_ : *then_);
 }
-void Discovery::stop() {
-    for (auto *w : {&now_, &then_})
-        if (*w && (*w)->conn.value) wires_.close((*w)->conn, false);
-    now_.reset(), then_.reset();
-}
 void Discovery::dial(Time now, Watch &w) {
     w.conn = conns_.next(), w.connected = false, w.heard = now;
     w.in.next(), w.line.clear();
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -37,7 +37,6 @@
     std::string list(Time now, std::string_view json);
     // Watches there from now on. A watch that stands elsewhere is let go once this one speaks.
     void watch(Time now, const std::string &address);
-    void stop();
 
     bool owns(ConnId conn) const { return (now_ && now_->conn == conn) || (then_ && then_->conn == conn); }
     void up(Time now, ConnId conn);
--- a/src/platform/pools.cpp
+++ b/src/platform/pools.cpp
@@ -103,7 +103,8 @@
         wires_.trace("shot task=" + std::to_string(key.first.value) + " shot=" + std::to_string(key.second.value) +
                      " node=" + std::to_string(s.node.value) + " conn=" + std::to_string(s.conn.value) + " how=" +
                      std::to_string(static_cast<int>(how)) + " at=" + std::to_string(s.began / us) + " connected=" +
-                     after(s.connected) + " written=" + after(s.written) + " first=" + after(s.first) + " over=" + after(now));
+                     after(s.connected) + " written=" + after(s.written) + " first=" + after(s.first) +
+                     " over=" + after(now));
     }
     told_.shot_over(now, key.first, key.second, s.node, how, now - s.began, std::move(body));
 }
@@ -191,7 +192,8 @@
     }
     if (how == Outcome::error && wires_.traces())
         wires_.trace("error conn=" + std::to_string(conn.value) + " status=" + std::to_string(link.in.status()) +
-                     " body=" + std::to_string(link.in.body().size()) + " length=" + std::string(link.in.header("Content-Length").value_or("-")) + " fault=" + (*link.in.fault() ? link.in.fault() : "-"));
+                     " length=" + std::string(link.in.header("Content-Length").value_or("-")) +
+                     " fault=" + (*link.in.fault() ? link.in.fault() : "-"));
     if (keep)
         rest(now, conn, link);
     else
--- a/src/platform/pools.hpp
+++ b/src/platform/pools.hpp
@@ -79,7 +79,8 @@
         ConnId conn;
         std::shared_ptr<const Work> work;
         Time began, until;
-        Time connected = 0, written = 0, first = 0; // its connection, its last byte, the first that came back; 0: not yet
+        // Its connection was up, its last byte had left, the first came back; 0: not yet.
+        Time connected = 0, written = 0, first = 0;
     };
     struct Peer {
         std::string address;
