--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -98,7 +98,7 @@
     // its client can make no other connection any more. With each request taking one with it, few are left at the end.
     if (stopping_ && now >= last_calls_) clients_.stop();
     over_ = stopping_ && now >= last_calls_ && asked_.empty() && (clients_.open() == 0 || now >= ends_);
-    due_ = next_due();
+    if (wires_.traces()) due_ = next_due();
 }
 // Ten times a second: how late the loop came to what was due, and what is believed to be out against what is.
 void Core::trace_counts(Time now) {
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -144,9 +144,7 @@
             std::string line = w->line.substr(0, end);
             w->line.erase(0, end + 1);
             if (line.find_first_not_of(" \r\t") == std::string::npos) continue;
-            if (auto fault = list(now, line); !fault.empty()) {
-                return lost(now, *w, true, fault.c_str());
-            }
+            if (auto fault = list(now, line); !fault.empty()) return lost(now, *w, true, fault.c_str());
         }
         if (then_ && w == &*then_) { // it speaks: it takes over
             if (now_->conn.value) wires_.close(now_->conn, false);
