Force the crossings of the platform's front; lacking descriptors are not the node's fault

Lines at fault: Server::connect told Core::failed nothing of the cause. Change: Socket::tried tells it, Pools gives such an attempt back as unsent.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -19,7 +19,8 @@
 
   package_tests(nbd SOURCES tests/nbd/server_test.cpp LIBS knotvane_nbd)
   package_tests(http SOURCES tests/http/decoder_test.cpp LIBS knotvane_http)
-  package_tests(platform SOURCES tests/platform/core_test.cpp tests/platform/server_test.cpp LIBS knotvane_platform_server)
+  package_tests(platform SOURCES tests/platform/core_test.cpp tests/platform/crossings_test.cpp tests/platform/discovery_test.cpp
+                tests/platform/loopback_test.cpp tests/platform/server_test.cpp LIBS knotvane_platform_server)
   package_tests(store SOURCES tests/store/store_test.cpp LIBS knotvane_store)
   package_tests(node SOURCES tests/node/node_test.cpp tests/node/cuts_test.cpp LIBS knotvane_node)
   package_tests(sim SOURCES tests/sim/sim_test.cpp LIBS knotvane_sim)
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -124,6 +124,7 @@
     } catch (const std::exception &) {
         bad = -1;
     }
+    tried_ = bad == 0;
     if (bad != 0)
         loop_.post([c] {
             std::unique_ptr<Connect> self(c);
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -57,6 +57,8 @@
     ~Socket();
     // Connects to "ADDRESS:PORT"; `done` tells whether it worked, never from within this call.
     void connect(const std::string &address, std::function<void(bool)> done);
+    // Whether a connect that failed got as far as the network: without a descriptor it says nothing of the other side.
+    bool tried() const { return tried_; }
     void start();
     // Gathers; flush sends what was gathered.
     void send(std::string bytes);
@@ -83,7 +85,8 @@
     Handle *handle_;
     std::vector<std::string> pending_;
     std::size_t writing_ = 0;
-    bool reading_ = false, held_ = false, closed_ = false, up_ = false, ending_ = false, shutting_ = false;
+    bool reading_ = false, held_ = false, closed_ = false, up_ = false, ending_ = false, shutting_ = false,
+         tried_ = false;
 };
 
 class Listener {
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -58,9 +58,9 @@
     now_ = now;
     pools_.owns(conn) ? pools_.up(now, conn) : discovery_.up(now, conn);
 }
-void Core::failed(Time now, ConnId conn) {
+void Core::failed(Time now, ConnId conn, bool tried) {
     now_ = now;
-    pools_.owns(conn) ? pools_.failed(now, conn) : discovery_.failed(now, conn);
+    pools_.owns(conn) ? pools_.failed(now, conn, tried) : discovery_.failed(now, conn);
 }
 void Core::bytes(Time now, ConnId conn, std::string_view in) {
     now_ = now;
--- a/src/platform/core.hpp
+++ b/src/platform/core.hpp
@@ -38,7 +38,8 @@
     // Nothing where there is no room for one more.
     std::optional<ConnId> client_came(Time now) { return clients_.came(now); }
     void up(Time now, ConnId conn);
-    void failed(Time now, ConnId conn);
+    // `tried`: it left this machine; else a descriptor was lacking, which is not the other side's doing.
+    void failed(Time now, ConnId conn, bool tried = true);
     void bytes(Time now, ConnId conn, std::string_view in);
     void gone(Time now, ConnId conn, Gone how);
     void written(Time now, ConnId conn, std::size_t bytes) { pools_.written(now, conn, bytes); }
--- a/src/platform/pools.cpp
+++ b/src/platform/pools.cpp
@@ -173,12 +173,12 @@
     shots_.at(it->second.shot).connected = now;
     give(now, conn, it->second);
 }
-void Pools::failed(Time now, ConnId conn) {
+void Pools::failed(Time now, ConnId conn, bool tried) {
     auto it = links_.find(conn);
     if (it == links_.end()) return;
     auto key = it->second.shot;
     drop(conn, false);
-    over(now, key, Outcome::unreachable);
+    over(now, key, tried ? Outcome::unreachable : Outcome::unsent);
 }
 void Pools::gone(Time now, ConnId conn, Gone how) {
     auto it = links_.find(conn);
--- a/src/platform/pools.hpp
+++ b/src/platform/pools.hpp
@@ -55,7 +55,7 @@
 
     bool owns(ConnId conn) const { return links_.contains(conn); }
     void up(Time now, ConnId conn);
-    void failed(Time now, ConnId conn);
+    void failed(Time now, ConnId conn, bool tried);
     void bytes(Time now, ConnId conn, std::string_view in);
     void gone(Time now, ConnId conn, Gone how);
     void written(Time now, ConnId conn, std::size_t bytes);
--- a/src/platform/server.cpp
+++ b/src/platform/server.cpp
@@ -41,8 +41,9 @@
     s->connect(address, [this, conn](bool well) {
         if (!sockets_.find(conn)) return;
         if (well) return core_->up(loop::now(), conn);
-        sockets_.remove(conn)->close();
-        core_->failed(loop::now(), conn);
+        auto failed = sockets_.remove(conn);
+        failed->close();
+        core_->failed(loop::now(), conn, failed->tried());
     });
 }
 void Server::close(ConnId conn) {
--- a/tests/platform/helpers.hpp
+++ b/tests/platform/helpers.hpp
@@ -1,13 +1,30 @@
-// What the front's tests share: a shell written down, requests and answers spelled out, and a front set up by hand.
+// What the front's tests share: a shell written down, requests and answers spelled out, a front set up by hand, and one
+// on loopback sockets between scripted peers.
 #pragma once
 
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdio>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <set>
+#include <sstream>
+#include <stdexcept>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/core.hpp"
+#include "platform/server.hpp"
 
 namespace knotvane::platform {
 
@@ -64,16 +81,21 @@
            R"(,"instances":[)" + entries + "]}";
 }
 
+inline const std::string watch_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 // A front with one node at n1 that holds shard 5, driven by hand; the decisions are the real ones.
 struct Front {
     Written w;
     Time now = 1000 * sec;
     Core core;
-    Front() : core(w, [](Actions &a) { return make_scheduler(a, 7); }, wire::Options(settings_text()), {"read", "write"},
-                   {"gold"}, {"a", "b"}, 1, 256) {
+    // `more`: lines of settings, which count over the usual ones.
+    explicit Front(const std::string &more = "")
+        : core(w, [](Actions &a) { return make_scheduler(a, 7); }, wire::Options(settings_text() + more),
+               {"read", "write"}, {"gold"}, {"a", "b"}, 1, 256) {
         core.start(now, list_of(41, node_entry("s1", "n1", 5)), "d1");
+        if (w.to("d1").value == 0) settle(sec); // where lists are asked for, the first call comes by chance within a second
         core.up(now, w.to("d1"));
-        core.bytes(now, w.to("d1"), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+        core.bytes(now, w.to("d1"), watch_head + chunk("\n"));
         for (int i = 0; i < 3; ++i) { // past the time in which a new scheduler spares cold nodes
             settle(sec);
             blank();
@@ -119,4 +141,189 @@
     }
 };
 
+// A socket of a scripted peer: a client, a node or discovery. Every wait ends by itself.
+class Peer {
+  public:
+    enum class End { none, ended, broken };
+    explicit Peer(int fd = -1) : fd_(fd) {}
+    ~Peer() { close(); }
+    Peer(Peer &&o) noexcept : fd_(std::exchange(o.fd_, -1)) {}
+    Peer &operator=(Peer &&o) noexcept {
+        close();
+        fd_ = std::exchange(o.fd_, -1);
+        return *this;
+    }
+    static Peer listens(const std::string &at = "127.0.0.1:0") {
+        auto p = unconnected();
+        int on = 1;
+        ::setsockopt(p.fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        auto a = parse(at);
+        if (::bind(p.fd_, reinterpret_cast<sockaddr *>(&a), sizeof a) != 0 || ::listen(p.fd_, 64) != 0)
+            throw std::runtime_error("a scripted peer can't listen");
+        return p;
+    }
+    static Peer unconnected() { return Peer(::socket(AF_INET, SOCK_STREAM, 0)); }
+    static Peer to(const std::string &address) {
+        auto p = unconnected();
+        p.connect(address);
+        return p;
+    }
+    void connect(const std::string &address) {
+        auto a = parse(address);
+        int on = 1;
+        if (::connect(fd_, reinterpret_cast<sockaddr *>(&a), sizeof a) != 0) throw std::runtime_error("can't connect");
+        ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+    std::string address() const {
+        sockaddr_in a{};
+        socklen_t n = sizeof a;
+        ::getsockname(fd_, reinterpret_cast<sockaddr *>(&a), &n);
+        return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+    }
+    bool comes(int wait_ms) const {
+        pollfd p{fd_, POLLIN, 0};
+        return ::poll(&p, 1, wait_ms) == 1;
+    }
+    Peer accept(int wait_ms = 3000) {
+        if (!comes(wait_ms)) throw std::runtime_error("nobody came");
+        return Peer(::accept(fd_, nullptr, nullptr));
+    }
+    // False where the other side has broken the connection.
+    bool send(std::string_view bytes) {
+        while (!bytes.empty()) {
+            auto n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (n <= 0) return false;
+            bytes.remove_prefix(static_cast<std::size_t>(n));
+        }
+        return true;
+    }
+    // What came, up to and with `last`; less if nothing more comes for a while or the connection ends.
+    std::string until(const std::string &last, int wait_ms = 3000) {
+        while (got_.find(last) == got_.npos && read_some(wait_ms) == End::none && !idle_) {}
+        auto end = got_.find(last);
+        auto out = got_.substr(0, end == got_.npos ? got_.npos : end + last.size());
+        got_.erase(0, out.size());
+        return out;
+    }
+    // Reads on to its end and tells which; what came is in `rest`.
+    End end(std::string &rest, int wait_ms = 3000) {
+        End how = End::none;
+        while ((how = read_some(wait_ms)) == End::none && !idle_) {}
+        rest = std::exchange(got_, {});
+        return how;
+    }
+    End end(int wait_ms = 3000) {
+        std::string rest;
+        return end(rest, wait_ms);
+    }
+    void shut() { ::shutdown(fd_, SHUT_WR); }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+    void reset() {
+        linger on{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &on, sizeof on);
+        close();
+    }
+
+  private:
+    static sockaddr_in parse(const std::string &address) {
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        auto colon = address.find(':');
+        ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &a.sin_addr);
+        a.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+        return a;
+    }
+    End read_some(int wait_ms) {
+        idle_ = !comes(wait_ms);
+        if (idle_) return End::none;
+        char buffer[16384];
+        auto n = ::recv(fd_, buffer, sizeof buffer, 0);
+        if (n > 0) got_.append(buffer, static_cast<std::size_t>(n));
+        return n > 0 ? End::none : n == 0 ? End::ended : End::broken;
+    }
+    int fd_;
+    bool idle_ = false;
+    std::string got_;
+};
+
+// The usual settings as the platform lays them down: nested JSON, with names.
+inline nlohmann::json settings_json(const std::string &more = "") {
+    nlohmann::json out;
+    std::istringstream lines(settings_text() + more);
+    for (std::string line; std::getline(lines, line);) {
+        auto eq = line.find('=');
+        auto path = line.substr(0, eq), value = line.substr(eq + 1);
+        if (path.ends_with(".count")) continue;
+        for (auto &c : path)
+            if (c == '.') c = '/';
+        auto parsed = nlohmann::json::parse(value, nullptr, false);
+        out[nlohmann::json::json_pointer("/" + path)] = parsed.is_discarded() ? nlohmann::json(value) : parsed;
+    }
+    out["Classes"][0]["Name"] = "read", out["Classes"][1]["Name"] = "write";
+    out["Contracts"][0]["Name"] = "gold", out["Zones"] = {"a", "b"};
+    return out;
+}
+// A file of this test's own.
+inline std::string own_file(const std::string &name) {
+    return "/tmp/knotvane-platform-test-" + std::to_string(::getpid()) + "-" + name;
+}
+
+// The front on loopback, with one node that holds shard 5, its watch open.
+struct Running {
+    Peer discovery = Peer::listens(), node = Peer::listens(), watch;
+    std::string path = own_file("config.json");
+    loop::Loop loop;
+    std::unique_ptr<Server> server;
+    std::thread thread;
+    std::atomic<bool> over = false;
+
+    explicit Running(const std::string &more = "", const std::string &listen = "127.0.0.1:0") {
+        write(discovery.address(), more, listen);
+        std::ifstream in(path);
+        Config config(std::string(std::istreambuf_iterator<char>(in), {}));
+        server = std::make_unique<Server>(
+            loop, path, config, [](Actions &a, std::uint64_t seed) { return make_scheduler(a, seed); }, false);
+        thread = std::thread([this] {
+            loop.run();
+            over = true;
+        });
+        watch = discovery.accept();
+        watch.until("\r\n\r\n");
+        watch.send(watch_head + Front::chunk(list_of(41, "", false) + "\n"));
+    }
+    ~Running() { end(); }
+    // As a kill does: at once, with whatever is open.
+    void end() {
+        if (!thread.joinable()) return;
+        loop.stop();
+        thread.join();
+        server.reset();
+        std::remove(path.c_str());
+    }
+    void write(const std::string &discovery_at, const std::string &more = "", const std::string &listen = "127.0.0.1:0") {
+        nlohmann::json config{{"name", "n0"}, {"listen", listen}, {"discovery", discovery_at}, {"seed", "1"},
+                              {"limits", {{"sockets", 256}}}, {"settings", settings_json(more)},
+                              {"known", nlohmann::json::parse(list_of(41, node_entry("s1", node.address(), 5)))}};
+        std::ofstream(path) << config.dump();
+    }
+    void stop() {
+        loop.post([this] { server->stop(); });
+    }
+    void reload() {
+        loop.post([this] { server->reload(); });
+    }
+    // Stops by itself within so long.
+    bool stops(int within_ms = 4000) {
+        for (int i = 0; i < within_ms / 10 && !over; ++i) ::usleep(10'000);
+        return over;
+    }
+    Peer client(const std::string &request = "") {
+        auto c = Peer::to(server->address());
+        c.send(request);
+        return c;
+    }
+};
+
 } // namespace knotvane::platform
