Ask the decisions once more at an attempt's first byte: the repeat window may be over

Ruled out by reading: the window's check itself (it counts from the decision of the first attempt, earlier than its arrival). Lines at fault: Pools::up hands a further attempt over up to ConnectTimeoutS after it was decided; the window is checked at the decision only. Change: Scheduler::may_begin, asked by Pools::give; the module answers by the same rule (harmless) and by its own view of client and node. The test of it fails without the question.

Also: a write that the kernel took at once, but is called back in the next turn, passed for unsent until then; the loop tells it at once now (by reading; not forced by a test).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -3,6 +3,7 @@
 target_include_directories(knotvane_tests PRIVATE src)
 target_link_libraries(knotvane_tests PRIVATE doctest::doctest)
 add_test(NAME decisions COMMAND knotvane_tests)
+add_test(NAME known_red COMMAND ${CMAKE_SOURCE_DIR}/tests/known_red_test)
 
 if(KNOTVANE_PROGRAM)
   add_library(rapidcheck_lib INTERFACE)
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -37,6 +37,7 @@
     std::string bytes;
     std::shared_ptr<Socket> socket;
     std::size_t *writing;
+    bool told = false; // that it has left
 };
 
 } // namespace
@@ -209,7 +210,7 @@
     for (std::size_t i = first; i < pending_.size(); ++i) rest.append(pending_[i], i == first ? within : 0);
     pending_.clear();
     if (!rest.empty()) {
-        auto *w = new Write{{}, std::move(rest), shared_from_this(), &writing_};
+        auto *w = new Write{{}, std::move(rest), shared_from_this(), &writing_, false};
         w->req.data = w;
         writing_ += w->bytes.size();
         auto buf = uv_buf_init(w->bytes.data(), static_cast<unsigned>(w->bytes.size()));
@@ -219,11 +220,13 @@
             s.writing_ -= self->bytes.size();
             if (s.closed_) return;
             if (status < 0) return s.gone(Gone::broken);
-            if (s.on_written && !s.ending_) s.on_written(self->bytes.size());
+            if (s.on_written && !s.ending_ && !self->told) s.on_written(self->bytes.size());
             if (s.closed_) return;
             if (s.ending_ && s.writing_ == 0 && s.pending_.empty()) return s.close();
             s.shut_if_sent();
         });
+        // It may have left at once, and is called back in the next turn only: until then it would pass for unsent.
+        if (uv_stream_get_write_queue_size(stream) == 0) w->told = true, left_now += w->bytes.size();
     }
     if (left_now > 0 && on_written && !ending_) on_written(left_now);
 }
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -163,10 +163,11 @@
 void Core::probe(NodeId) { wires_.say("a probe was asked for, which this front does not make"); }
 void Core::tell_all(std::string_view) { wires_.say("a message to peers was asked for, which this front does not send"); }
 
-bool Core::may_begin(TaskId task, NodeId node) const {
+bool Core::may_begin(Time now, TaskId task, ShotId shot, NodeId node) const {
     auto t = tasks_.find(task);
     auto n = nodes_.find(node);
-    return t != tasks_.end() && !t->second.ended && n != nodes_.end() && n->second;
+    return t != tasks_.end() && !t->second.ended && n != nodes_.end() && n->second &&
+           scheduler_->may_begin(now, task, shot);
 }
 void Core::shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, std::string body) {
     overs_.push_back({task, shot, node, how, took, now, std::move(body)});
--- a/src/platform/core.hpp
+++ b/src/platform/core.hpp
@@ -62,7 +62,7 @@
     void tell_all(std::string_view text) override;
     void note(std::string_view text) override { wires_.say(std::string(text)); }
 
-    bool may_begin(TaskId task, NodeId node) const override;
+    bool may_begin(Time now, TaskId task, ShotId shot, NodeId node) const override;
     void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, std::string body) override;
     void request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
                       KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
--- a/src/platform/pools.cpp
+++ b/src/platform/pools.cpp
@@ -93,7 +93,7 @@
 void Pools::give(Time now, ConnId conn, Link &link) {
     Shot &s = shots_.at(link.shot);
     // Between the decision and this moment a connection came up: the client may have left, the node may drain.
-    if (link.leaving || now >= s.until || !told_.may_begin(link.shot.first, link.node))
+    if (link.leaving || now >= s.until || !told_.may_begin(now, link.shot.first, link.shot.second, link.node))
         return take_back(now, ShotKey(link.shot));
     auto bytes = request(*s.work, s.until - now);
     link.to_write = bytes.size(), link.handed = true;
--- a/src/platform/pools.hpp
+++ b/src/platform/pools.hpp
@@ -27,8 +27,8 @@
 class ShotsTold {
   public:
     virtual ~ShotsTold() = default;
-    // Asked before a shot's first byte, and nowhere else: is somebody owed an answer, may the node have it?
-    virtual bool may_begin(TaskId task, NodeId node) const = 0;
+    // Asked before a shot's first byte, and nowhere else: is somebody owed an answer, may the node have it now?
+    virtual bool may_begin(Time now, TaskId task, ShotId shot, NodeId node) const = 0;
     virtual void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took,
                            std::string body) = 0;
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -339,12 +339,12 @@
            (repeat == Repeat::numbered && group == Group::all);
 }
 
-// Whether a shot, after those made, can do no harm at that node. Guards against effects that happen twice.
-bool may_shoot(const Task &task, const Workload &w, const Node &node, std::uint32_t most, bool parallel,
-               Time now, Time margin) {
-    if (task.shots.size() >= most || (!parallel && task.any_out())) return false;
+// Whether one more shot after the first so many can do no harm at that node. Guards against effects that
+// happen twice.
+bool harmless(const Task &task, std::size_t made, const Workload &w, const Node &node, Time now, Time margin) {
     if (w.repeat == Repeat::reissuable) return true;
-    for (const auto &s : task.shots) {
+    for (std::size_t i = 0; i < made; ++i) {
+        const Shot &s = task.shots[i];
         if (s.proved_not_run) continue;
         if (w.repeat == Repeat::at_most_once || now + margin >= s.sent + w.repeat_window) return false;
         if ((w.group == Group::shard && s.shard != node.shard) ||
@@ -354,6 +354,12 @@
     return true;
 }
 
+bool may_shoot(const Task &task, const Workload &w, const Node &node, std::uint32_t most, bool parallel,
+               Time now, Time margin) {
+    if (task.shots.size() >= most || (!parallel && task.any_out())) return false;
+    return harmless(task, task.shots.size(), w, node, now, margin);
+}
+
 class Knotvane final : public Scheduler {
   public:
     Knotvane(Actions &actions, std::uint64_t seed)
@@ -491,6 +497,15 @@
         end(it->second);
         forget_if_done(it);
     }
+    // Its connection may have come up late: the client left, the node drains, the window for repeats is over.
+    bool may_begin(Time now, TaskId id, ShotId shot) const override {
+        auto it = tasks_.find(id);
+        if (it == tasks_.end() || it->second.ended) return false;
+        const Task &t = it->second;
+        const Node &node = nodes_.at(t.shots[shot.value].node);
+        return node.state == NodeState::ready &&
+               harmless(t, shot.value, workloads_.at(t.workload), node, now, 2 * step_);
+    }
     void alarm(Time now, AlarmId) override {
         if (now >= next_alarm_) next_alarm_ = never;
     }
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -88,6 +88,9 @@
     virtual void task_withdrawn(Time now, TaskId task, bool by_client) = 0;
     virtual void probe_ended(Time, NodeId, bool /*well*/, Time /*took*/, std::span<const float> /*report*/) {}
     virtual void peer_told(Time, PeerId, std::string_view /*text*/) {}
+    // Asked before a shot's first byte where that comes later than shoot: whether it may still be made. One that
+    // may not comes back as unsent.
+    virtual bool may_begin(Time /*now*/, TaskId, ShotId) const { return true; }
     virtual void alarm(Time now, AlarmId alarm) = 0;
     virtual void settle(Time now) = 0;
 };
--- a/tests/platform/crossings_test.cpp
+++ b/tests/platform/crossings_test.cpp
@@ -113,6 +113,71 @@
     }
 }
 
+TEST_SUITE("the repeat window's end") {
+    // A further attempt was decided within the window, and its connection came up after it: the effect happened twice.
+    TEST_CASE("while a further attempt connects: it is not made, and the request fails, as its first may have run") {
+        for (bool late : {false, true}) {
+            Front f("Classes.1.RepeatWindowS=0.2\nClasses.1.TargetS=0.8\n");
+            auto c = f.client(write_of("t1", "x"));
+            auto n = f.node();
+            f.settle(120 * ms);
+            f.core.gone(f.now, n, Gone::broken);
+            f.settle();
+            auto again = f.w.to("n1");
+            REQUIRE(again != n);
+            f.core.up(f.now += late ? 80 * ms : 50 * ms, again);
+            f.settle();
+            CHECK(asked(f, again, "t1") == !late);
+            if (late) CHECK(f.w.sent[c].starts_with("HTTP/1.1 502 "));
+        }
+    }
+    TEST_CASE("every effect and group, every outcome, inside and past the window: a further attempt only where harmless") {
+        struct {
+            std::string effect, group;
+        } effects[] = {{"idempotent", "all"}, {"deduplicated", "all"}, {"deduplicated", "zone"}, {"deduplicated", "cell"},
+                       {"at_most_once", "all"}};
+        for (auto &e : effects)
+            for (std::string outcome : {"500", "503", "never ran", "reset", "before its last byte", "connect refused"})
+                for (bool past : {false, true}) {
+                    CAPTURE(e.effect + " " + e.group + ", " + outcome + (past ? ", past" : ", inside"));
+                    Front f("Classes.1.Effect=" + e.effect + "\nClasses.1.Group=" + e.group +
+                            "\nClasses.1.RepeatWindowS=0.2\nClasses.1.TargetS=0.8\n");
+                    auto c = f.client(write_of("t1", std::string(1000, 'x')));
+                    auto n = f.w.to("n1");
+                    if (outcome == "connect refused") {
+                        f.settle(past ? 210 * ms : 5 * ms);
+                        f.core.failed(f.now, n);
+                    } else {
+                        f.core.up(f.now, n);
+                        if (outcome == "before its last byte")
+                            f.core.written(f.now, n, 500), f.w.unwritten.clear();
+                        f.settle(past ? 210 * ms : 5 * ms);
+                        if (outcome == "reset" || outcome == "before its last byte")
+                            f.core.gone(f.now, n, Gone::broken);
+                        else
+                            f.core.bytes(f.now, n, reply(outcome == "500" ? 500 : 503, "",
+                                                         outcome == "never ran" ? "X-Never-Ran: 1\r\n" : ""));
+                    }
+                    f.settle();
+                    f.settle(60 * ms); // a full node is held for a moment
+                    if (f.w.to("n1") != n) f.core.up(f.now, f.w.to("n1")), f.settle();
+                    std::size_t attempts = count_of(f.w.sent[n], "X-Trace-Id: t1\r\n");
+                    if (f.w.to("n1") != n) attempts += count_of(f.w.sent[f.w.to("n1")], "X-Trace-Id: t1\r\n");
+                    bool never = outcome == "never ran" || outcome == "before its last byte" || outcome == "connect refused";
+                    std::size_t made = outcome == "connect refused" ? 0 : 1;
+                    bool again = never || e.effect == "idempotent" || (e.effect == "deduplicated" && !past);
+                    CHECK(attempts <= made + again);
+                    if (!again) CHECK(attempts == made);
+                    f.settle(2 * sec);
+                    // A refusal says that trying again is harmless.
+                    bool harmless = attempts == 0 || e.effect == "idempotent" || e.group == "all";
+                    if (e.effect == "at_most_once") harmless = never && attempts == made;
+                    if (!harmless) CHECK(!has(f.w.sent[c], "HTTP/1.1 503 "));
+                    CHECK(f.core.tasks() == 0);
+                }
+    }
+}
+
 TEST_SUITE("the end of a client's connection") {
     // A close over unread bytes resets the connection and takes the answer along.
     TEST_CASE("our side ends first; what comes after is thrown away and never sent on; then its end, or a short bound") {
