Rename in the platform's front: request, attempt, deadline, refuse, reject

Older words of the project (task, shot, client timeout, deny) gave way to the standard terms in src/platform, its tests and the trace's lines; the module's interface keeps its names. Nothing else changes.

--- a/src/cli/platform.cpp
+++ b/src/cli/platform.cpp
@@ -15,7 +15,7 @@
 namespace knotvane::cli {
 
 int run_platform(int argc, char **argv) {
-    CLI::App app{"knotvane-edge --platform: HTTP in, scheduled shots to the platform's disk servers out"};
+    CLI::App app{"knotvane-edge --platform: HTTP in, scheduled attempts to the platform's disk servers out"};
     bool platform = false, json = false, trace = false;
     const char *from = std::getenv("LB_CONFIG");
     std::string config = from ? from : "", level = "info";
@@ -23,7 +23,7 @@
     app.add_option("--config", config, "configuration (JSON); else what LB_CONFIG names");
     app.add_option("--log", level, "least level of the log")->check(CLI::IsMember({"debug", "info", "warn", "error"}));
     app.add_flag("--log-json", json, "log as JSON lines");
-    app.add_flag("--trace", trace, "log each shot's times and what is counted out; `knotvane trace` reads it");
+    app.add_flag("--trace", trace, "log each attempt's times and what is counted out; `knotvane trace` reads it");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &e) {
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -147,14 +147,14 @@
         Client &c = clients_.at(conn);
         if (c.in.state() == http::State::empty && c.since + unfinished != c.due) due_at(conn, c, now + unfinished);
         in.remove_prefix(c.in.take(in));
-        if (c.in.state() == http::State::broken) return refuse(now, conn, c.in.fault_status(), c.in.fault());
+        if (c.in.state() == http::State::broken) return reject(now, conn, c.in.fault_status(), c.in.fault());
         if (c.in.state() != http::State::whole) {
             // The rest of it was thrown away: what comes next must not be read as its end.
-            if (c.deaf && c.behind.empty()) refuse(now, conn, 413, "too much at once");
+            if (c.deaf && c.behind.empty()) reject(now, conn, 413, "too much at once");
             return;
         }
         auto [status, why] = request(now, came, conn, c);
-        if (status != 0) return refuse(now, conn, status, why);
+        if (status != 0) return reject(now, conn, status, why);
         auto it = clients_.find(conn);
         if (it == clients_.end()) return;
         if (it->second.ended) return;
@@ -263,13 +263,13 @@
             read(now, came, conn, in);
         }
 }
-void Clients::refuse(Time now, ConnId conn, unsigned status, const char *why) {
+void Clients::reject(Time now, ConnId conn, unsigned status, const char *why) {
     clients_.at(conn).last = true;
     if (wires_.traces()) wires_.trace("refused status=" + std::to_string(status) + " why=" + why);
     send(now, conn, status, "Content-Type: text/plain\r\n", std::string(why) + "\n");
 }
 void Clients::answer(Time now, ConnId conn, std::string body) { send(now, conn, 200, "", std::move(body)); }
-void Clients::deny(Time now, ConnId conn, Time come_back_after) {
+void Clients::refuse(Time now, ConnId conn, Time come_back_after) {
     char wait[64] = "";
     if (come_back_after > 0) std::snprintf(wait, sizeof wait, "Retry-After: %.3f\r\n", seconds(come_back_after));
     send(now, conn, 503, wait, "");
@@ -287,7 +287,7 @@
         else if (c.in.state() == http::State::empty)
             finish(now, conn, c);
         else
-            refuse(now, conn, 408, "the request does not come to an end");
+            reject(now, conn, 408, "the request does not come to an end");
     }
 }
 
--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -27,7 +27,7 @@
   public:
     virtual ~RequestsTold() = default;
     virtual void request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
-                              KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
+                              KeyId key, double units, double hosts, bool writes, bool repeated, Time deadline,
                               std::shared_ptr<const Work> work) = 0;
     virtual void request_left(Time now, ConnId client) = 0;
     // Whether the scheduler may be put to use.
@@ -48,7 +48,7 @@
 
     // The answers: a node's body; trying again is harmless, and when (0: untold); failed.
     void answer(Time now, ConnId conn, std::string body);
-    void deny(Time now, ConnId conn, Time come_back_after);
+    void refuse(Time now, ConnId conn, Time come_back_after);
     void error(Time now, ConnId conn);
 
     // From now on connections without a request stay, however long they are idle.
@@ -83,7 +83,7 @@
     // Gives back the status of a refusal and why, 0 where the request was told.
     std::pair<unsigned, const char *> request(Time now, Time came, ConnId conn, Client &c);
     void send(Time now, ConnId conn, unsigned status, const std::string &headers, std::string body);
-    void refuse(Time now, ConnId conn, unsigned status, const char *why);
+    void reject(Time now, ConnId conn, unsigned status, const char *why);
     void due_at(ConnId conn, Client &c, Time at);
     void drop(ConnId conn);
     void finish(Time now, ConnId conn, Client &c);
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -18,7 +18,7 @@
 // Descriptors for all that is neither a client nor a node: the loop's, the log's, discovery's, and those of
 // connections that are ending.
 constexpr std::size_t spare_sockets = 32;
-// The part of the others for nodes: the window keeps shots few, clients come in any number.
+// The part of the others for nodes: the window keeps attempts few, clients come in any number.
 std::size_t for_nodes(std::size_t sockets) { return (sockets - spare_sockets / 2) / 3; }
 std::size_t for_clients(std::size_t sockets) {
     auto taken = for_nodes(sockets) + spare_sockets;
@@ -77,7 +77,7 @@
     now_ = now;
     if (wires_.traces()) trace_counts(now);
     clients_.tick(now), pools_.tick(now), discovery_.tick(now);
-    // A decision may end a shot at once, which is told like any other outcome; a few rounds do.
+    // A decision may end an attempt at once, which is told like any other outcome; a few rounds do.
     for (int round = 0; round < 8; ++round) {
         while (!overs_.empty()) {
             Over o = std::move(overs_.front());
@@ -120,75 +120,75 @@
 }
 
 void Core::tell(Time now, Over o) {
-    --tasks_.at(o.task).out;
+    --requests_.at(o.request).out;
     if (wires_.traces()) {
         --counted_[o.node];
-        wires_.trace("told task=" + std::to_string(o.task.value) + " shot=" + std::to_string(o.shot.value) +
+        wires_.trace("told request=" + std::to_string(o.request.value) + " attempt=" + std::to_string(o.attempt.value) +
                      " late=" + std::to_string((now - o.since) / us));
     }
     if (o.how == Outcome::answered)
-        if (auto client = end(o.task)) clients_.answer(now, *client, std::move(o.body));
-    scheduler_->shot_ended(now, o.task, o.shot, o.node, o.how, o.took, tasks_.at(o.task).ended, -1, 0, {});
-    forget_if_done(o.task);
-}
-// The task needs no answer any more; gives who is owed one, if anybody still is.
-std::optional<ConnId> Core::end(TaskId task) {
-    auto it = tasks_.find(task);
-    if (it == tasks_.end() || it->second.ended) return std::nullopt;
+        if (auto client = end(o.request)) clients_.answer(now, *client, std::move(o.body));
+    scheduler_->shot_ended(now, o.request, o.attempt, o.node, o.how, o.took, requests_.at(o.request).ended, -1, 0, {});
+    forget_if_done(o.request);
+}
+// The request needs no answer any more; gives who is owed one, if anybody still is.
+std::optional<ConnId> Core::end(TaskId request) {
+    auto it = requests_.find(request);
+    if (it == requests_.end() || it->second.ended) return std::nullopt;
     it->second.ended = true;
     asked_.erase(it->second.client);
     return it->second.client;
 }
-void Core::forget_if_done(TaskId task) {
-    auto it = tasks_.find(task);
-    if (it != tasks_.end() && it->second.ended && it->second.out == 0) tasks_.erase(it);
+void Core::forget_if_done(TaskId request) {
+    auto it = requests_.find(request);
+    if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
 }
 
-void Core::shoot(TaskId task, NodeId node, Time time_out) {
-    Task &t = tasks_.at(task);
-    ShotId shot{t.shots++};
+void Core::shoot(TaskId request, NodeId node, Time time_out) {
+    Request &t = requests_.at(request);
+    ShotId attempt{t.attempts++};
     ++t.out;
     if (wires_.traces()) ++counted_[node];
-    pools_.shoot(now_, task, shot, node, t.work, time_out > 0 ? std::min(t.until, now_ + time_out) : t.until);
+    pools_.begin(now_, request, attempt, node, t.work, time_out > 0 ? std::min(t.until, now_ + time_out) : t.until);
 }
-void Core::call_off(TaskId task, ShotId shot) { pools_.call_off(now_, task, shot); }
-void Core::deny(TaskId task, Time come_back_after) {
-    if (auto client = end(task)) clients_.deny(now_, *client, come_back_after);
-    forget_if_done(task);
+void Core::call_off(TaskId request, ShotId attempt) { pools_.call_off(now_, request, attempt); }
+void Core::deny(TaskId request, Time come_back_after) {
+    if (auto client = end(request)) clients_.refuse(now_, *client, come_back_after);
+    forget_if_done(request);
 }
-void Core::error(TaskId task) {
-    if (auto client = end(task)) clients_.error(now_, *client);
-    forget_if_done(task);
+void Core::error(TaskId request) {
+    if (auto client = end(request)) clients_.error(now_, *client);
+    forget_if_done(request);
 }
 void Core::probe(NodeId) { wires_.say("a probe was asked for, which this front does not make"); }
 void Core::tell_all(std::string_view) { wires_.say("a message to peers was asked for, which this front does not send"); }
 
-bool Core::may_begin(Time now, TaskId task, ShotId shot, NodeId node) const {
-    auto t = tasks_.find(task);
+bool Core::may_begin(Time now, TaskId request, ShotId attempt, NodeId node) const {
+    auto t = requests_.find(request);
     auto n = nodes_.find(node);
-    return t != tasks_.end() && !t->second.ended && n != nodes_.end() && n->second &&
-           scheduler_->may_begin(now, task, shot);
+    return t != requests_.end() && !t->second.ended && n != nodes_.end() && n->second &&
+           scheduler_->may_begin(now, request, attempt);
 }
-void Core::shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, std::string body) {
-    overs_.push_back({task, shot, node, how, took, now, std::move(body)});
+void Core::attempt_over(Time now, TaskId request, ShotId attempt, NodeId node, Outcome how, Time took, std::string body) {
+    overs_.push_back({request, attempt, node, how, took, now, std::move(body)});
 }
 void Core::request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
-                        KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
+                        KeyId key, double units, double hosts, bool writes, bool repeated, Time deadline,
                         std::shared_ptr<const Work> work) {
-    if (stopping_) client_timeout = std::min(client_timeout, ends_);
-    TaskId id{++last_task_};
-    tasks_.emplace(id, Task{client, std::move(work), client_timeout});
+    if (stopping_) deadline = std::min(deadline, ends_);
+    TaskId id{++last_request_};
+    requests_.emplace(id, Request{client, std::move(work), deadline});
     asked_[client] = id;
-    scheduler_->task_taken(now, id, workload, volume, plan, shard, key, units, hosts, writes, repeated, client_timeout);
+    scheduler_->task_taken(now, id, workload, volume, plan, shard, key, units, hosts, writes, repeated, deadline);
 }
 void Core::request_left(Time now, ConnId client) {
     auto asked = asked_.find(client);
     if (asked == asked_.end()) return;
-    auto task = asked->second;
-    end(task);
-    pools_.withdraw(now, task); // also where shots may not be called off: these were not made yet
-    scheduler_->task_withdrawn(now, task, true);
-    forget_if_done(task);
+    auto request = asked->second;
+    end(request);
+    pools_.withdraw(now, request); // also where attempts may not be called off: these were not made yet
+    scheduler_->task_withdrawn(now, request, true);
+    forget_if_done(request);
 }
 
 void Core::list_begins(Time now, ListKind kind) {
--- a/src/platform/core.hpp
+++ b/src/platform/core.hpp
@@ -1,4 +1,4 @@
-// The front at work, without I/O: clients, shots, discovery and the decisions. Bytes and time in, bytes and calls out.
+// The front at work, without I/O: clients, attempts, discovery and the decisions. Bytes and time in, bytes and calls out.
 #pragma once
 
 #include <deque>
@@ -20,7 +20,7 @@
 
 namespace knotvane::platform {
 
-class Core final : public Actions, public ShotsTold, public RequestsTold, public ListTold {
+class Core final : public Actions, public AttemptsTold, public RequestsTold, public ListTold {
   public:
     // `sockets`: descriptors the process may hold. Throws wire::Malformed on settings that are wrong.
     Core(Wires &wires, const std::function<std::unique_ptr<Scheduler>(Actions &)> &scheduler,
@@ -49,12 +49,12 @@
 
     const Clients &clients() const { return clients_; }
     const Pools &pools() const { return pools_; }
-    std::size_t tasks() const { return tasks_.size(); }
+    std::size_t requests() const { return requests_.size(); }
 
-    void shoot(TaskId task, NodeId node, Time time_out) override;
-    void call_off(TaskId task, ShotId shot) override;
-    void deny(TaskId task, Time come_back_after) override;
-    void error(TaskId task) override;
+    void shoot(TaskId request, NodeId node, Time time_out) override;
+    void call_off(TaskId request, ShotId attempt) override;
+    void deny(TaskId request, Time come_back_after) override;
+    void error(TaskId request) override;
     void set_alarm(AlarmId alarm, Time wait) override { alarms_.insert({now_ + wait, alarm}); }
     void follow_list() override {} // the watch always stands or is being set up
     void ask_list() override {}
@@ -62,10 +62,10 @@
     void tell_all(std::string_view text) override;
     void note(std::string_view text) override { wires_.say(std::string(text)); }
 
-    bool may_begin(Time now, TaskId task, ShotId shot, NodeId node) const override;
-    void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took, std::string body) override;
+    bool may_begin(Time now, TaskId request, ShotId attempt, NodeId node) const override;
+    void attempt_over(Time now, TaskId request, ShotId attempt, NodeId node, Outcome how, Time took, std::string body) override;
     void request_came(Time now, ConnId client, WorkloadId workload, VolumeId volume, PlanId plan, ShardId shard,
-                      KeyId key, double units, double hosts, bool writes, bool repeated, Time client_timeout,
+                      KeyId key, double units, double hosts, bool writes, bool repeated, Time deadline,
                       std::shared_ptr<const Work> work) override;
     void request_left(Time now, ConnId client) override;
     bool serves() const override { return discovery_.listed() && !stopping_; }
@@ -76,16 +76,16 @@
 
   private:
     static constexpr Time never = std::numeric_limits<Time>::max();
-    struct Task {
+    struct Request {
         ConnId client;
         std::shared_ptr<const Work> work;
         Time until;
-        std::uint32_t shots = 0, out = 0;
+        std::uint32_t attempts = 0, out = 0;
         bool ended = false;
     };
     struct Over {
-        TaskId task;
-        ShotId shot;
+        TaskId request;
+        ShotId attempt;
         NodeId node;
         Outcome how;
         Time took;
@@ -93,8 +93,8 @@
         std::string body;
     };
     void tell(Time now, Over o);
-    std::optional<ConnId> end(TaskId task);
-    void forget_if_done(TaskId task);
+    std::optional<ConnId> end(TaskId request);
+    void forget_if_done(TaskId request);
     void trace_counts(Time now);
 
     Wires &wires_;
@@ -103,15 +103,15 @@
     Pools pools_;
     Discovery discovery_;
     std::unique_ptr<Scheduler> scheduler_;
-    std::map<TaskId, Task> tasks_;
+    std::map<TaskId, Request> requests_;
     std::map<ConnId, TaskId> asked_; // open requests by their connection
     std::deque<Over> overs_;         // told at the end of the moment: the decisions are not called from within
     std::set<std::pair<Time, AlarmId>> alarms_;
     std::map<NodeId, bool> nodes_; // listed, and whether ready
     std::set<NodeId> left_out_;    // of these, not named so far by the whole list being told
-    std::map<NodeId, std::size_t> counted_; // shots that the decisions count out, by node; for the trace
+    std::map<NodeId, std::size_t> counted_; // attempts that the decisions count out, by node; for the trace
     Time traced_ = 0, due_ = never;
-    std::uint64_t last_task_ = 0;
+    std::uint64_t last_request_ = 0;
     // Of a stop: answers end their connections, resting ones end, and all are answered.
     Time now_ = 0, longest_ = 0, last_calls_ = 0, rest_ends_ = 0, ends_ = 0;
     bool stopping_ = false, over_ = false;
--- a/src/platform/pools.cpp
+++ b/src/platform/pools.cpp
@@ -11,7 +11,7 @@
 // answers all the same; a few times that still keeps all that are read at once within the least memory.
 constexpr std::size_t most_head = 8 << 10, most_body = 1 << 20;
 
-std::string request(const Work &w, Time left) {
+std::string message_of(const Work &w, Time left) {
     char expires[32];
     std::snprintf(expires, sizeof expires, "%.6f", seconds(std::max<Time>(left, 0)));
     std::string out = w.method + " " + w.target + " HTTP/1.1\r\nHost: node\r\nX-Trace-Id: " + w.trace +
@@ -23,7 +23,7 @@
 
 } // namespace
 
-Pools::Pools(Wires &wires, ShotsTold &told, Conns &conns, Time connect, Time idle, std::size_t most)
+Pools::Pools(Wires &wires, AttemptsTold &told, Conns &conns, Time connect, Time idle, std::size_t most)
     : wires_(wires), told_(told), conns_(conns), connect_(connect),
       // A tenth and a quarter second before the node would: a request written as it closes is a reset.
       idle_(std::max<Time>(idle - idle / 10 - 250 * ms, 0)), most_(std::max<std::size_t>(most, 1)) {}
@@ -38,11 +38,11 @@
     auto it = peers_.find(node);
     if (it == peers_.end()) return;
     for (auto conn : std::vector<ConnId>(it->second.idle)) drop(conn);
-    std::vector<ShotKey> unbegun;
+    std::vector<AttemptKey> unbegun;
     for (auto &[id, link] : links_)
         if (link.node == node) {
             link.leaving = true;
-            if (link.busy && !link.handed) unbegun.push_back(link.shot);
+            if (link.busy && !link.handed) unbegun.push_back(link.attempt);
         }
     for (auto &key : unbegun) take_back(now, key);
 }
@@ -65,18 +65,18 @@
     return false;
 }
 
-void Pools::shoot(Time now, TaskId task, ShotId shot, NodeId node, std::shared_ptr<const Work> work, Time until) {
-    ShotKey key{task, shot};
+void Pools::begin(Time now, TaskId request, ShotId attempt, NodeId node, std::shared_ptr<const Work> work, Time until) {
+    AttemptKey key{request, attempt};
     auto peer = peers_.find(node);
     if (until <= now || peer == peers_.end() || peer->second.address.empty())
-        return told_.shot_over(now, task, shot, node, Outcome::unsent, 0, {});
-    Shot &s = shots_[key] = Shot{node, {}, std::move(work), now, until};
+        return told_.attempt_over(now, request, attempt, node, Outcome::unsent, 0, {});
+    Attempt &s = attempts_[key] = Attempt{node, {}, std::move(work), now, until};
     auto &idle = peer->second.idle;
     if (!idle.empty()) {
         s.conn = idle.back();
         idle.pop_back();
         Link &link = links_.at(s.conn);
-        link.busy = true, link.shot = key;
+        link.busy = true, link.attempt = key;
         return give(now, s.conn, link);
     }
     if (!make_room()) return over(now, key, Outcome::unsent);
@@ -89,53 +89,53 @@
     due_at(s.conn, link, std::min(now + connect_, until));
     wires_.connect(s.conn, link.address);
 }
-// Hands the request of the shot to its connection.
+// Hands the request of the attempt to its connection.
 void Pools::give(Time now, ConnId conn, Link &link) {
-    Shot &s = shots_.at(link.shot);
+    Attempt &s = attempts_.at(link.attempt);
     // Between the decision and this moment a connection came up: the client may have left, the node may drain.
-    if (link.leaving || now >= s.until || !told_.may_begin(now, link.shot.first, link.shot.second, link.node))
-        return take_back(now, ShotKey(link.shot));
-    auto bytes = request(*s.work, s.until - now);
+    if (link.leaving || now >= s.until || !told_.may_begin(now, link.attempt.first, link.attempt.second, link.node))
+        return take_back(now, AttemptKey(link.attempt));
+    auto bytes = message_of(*s.work, s.until - now);
     link.to_write = bytes.size(), link.handed = true;
     link.in.next();
     due_at(conn, link, s.until);
     wires_.send(conn, std::move(bytes));
 }
-void Pools::call_off(Time now, TaskId task, ShotId shot) {
-    auto it = shots_.find({task, shot});
-    if (it == shots_.end()) return;
-    if (!left(it->second)) return take_back(now, {task, shot});
+void Pools::call_off(Time now, TaskId request, ShotId attempt) {
+    auto it = attempts_.find({request, attempt});
+    if (it == attempts_.end()) return;
+    if (!left(it->second)) return take_back(now, {request, attempt});
     drop(it->second.conn);
-    over(now, {task, shot}, Outcome::called_off);
+    over(now, {request, attempt}, Outcome::called_off);
 }
-bool Pools::left(const Shot &shot) const {
-    const Link &link = links_.at(shot.conn);
+bool Pools::left(const Attempt &attempt) const {
+    const Link &link = links_.at(attempt.conn);
     return link.handed && link.to_write == 0;
 }
-// Ends a shot whose last byte has not left, and so never will: it did not run.
-void Pools::take_back(Time now, const ShotKey &key) {
-    drop(shots_.at(key).conn);
+// Ends an attempt whose last byte has not left, and so never will: it did not run.
+void Pools::take_back(Time now, const AttemptKey &key) {
+    drop(attempts_.at(key).conn);
     over(now, key, Outcome::unsent);
 }
-void Pools::withdraw(Time now, TaskId task) {
-    std::vector<ShotKey> unwritten;
-    for (auto it = shots_.lower_bound({task, ShotId{}}); it != shots_.end() && it->first.first == task; ++it)
+void Pools::withdraw(Time now, TaskId request) {
+    std::vector<AttemptKey> unwritten;
+    for (auto it = attempts_.lower_bound({request, ShotId{}}); it != attempts_.end() && it->first.first == request; ++it)
         if (!left(it->second)) unwritten.push_back(it->first);
     for (auto &key : unwritten) take_back(now, key);
 }
-void Pools::over(Time now, const ShotKey &key, Outcome how, std::string body) {
-    auto it = shots_.find(key);
-    Shot s = std::move(it->second);
-    shots_.erase(it);
+void Pools::over(Time now, const AttemptKey &key, Outcome how, std::string body) {
+    auto it = attempts_.find(key);
+    Attempt s = std::move(it->second);
+    attempts_.erase(it);
     if (wires_.traces()) {
         auto after = [&](Time t) { return t == 0 ? std::string("-") : std::to_string((t - s.began) / us); };
-        wires_.trace("shot task=" + std::to_string(key.first.value) + " shot=" + std::to_string(key.second.value) +
+        wires_.trace("attempt request=" + std::to_string(key.first.value) + " attempt=" + std::to_string(key.second.value) +
                      " node=" + std::to_string(s.node.value) + " conn=" + std::to_string(s.conn.value) + " how=" +
                      std::to_string(static_cast<int>(how)) + " at=" + std::to_string(s.began / us) + " connected=" +
                      after(s.connected) + " written=" + after(s.written) + " first=" + after(s.first) +
                      " over=" + after(now));
     }
-    told_.shot_over(now, key.first, key.second, s.node, how, now - s.began, std::move(body));
+    told_.attempt_over(now, key.first, key.second, s.node, how, now - s.began, std::move(body));
 }
 void Pools::drop(ConnId conn, bool close) {
     auto it = links_.find(conn);
@@ -170,13 +170,13 @@
     auto it = links_.find(conn);
     if (it == links_.end()) return;
     it->second.up = true;
-    shots_.at(it->second.shot).connected = now;
+    attempts_.at(it->second.attempt).connected = now;
     give(now, conn, it->second);
 }
 void Pools::failed(Time now, ConnId conn, bool tried) {
     auto it = links_.find(conn);
     if (it == links_.end()) return;
-    auto key = it->second.shot;
+    auto key = it->second.attempt;
     drop(conn, false);
     over(now, key, tried ? Outcome::unreachable : Outcome::unsent);
 }
@@ -184,7 +184,7 @@
     auto it = links_.find(conn);
     if (it == links_.end()) return;
     bool busy = it->second.busy, whole = it->second.handed && it->second.to_write == 0;
-    auto key = it->second.shot;
+    auto key = it->second.attempt;
     // An answer without a length ends with its stream; a connection that broke ends nothing.
     if (busy && whole && how == Gone::ended) {
         it->second.in.finish(), it->second.leaving = true;
@@ -198,7 +198,7 @@
     auto it = links_.find(conn);
     if (it == links_.end()) return;
     it->second.to_write -= std::min(bytes, it->second.to_write);
-    if (it->second.busy && it->second.to_write == 0) shots_.at(it->second.shot).written = now;
+    if (it->second.busy && it->second.to_write == 0) attempts_.at(it->second.attempt).written = now;
 }
 
 void Pools::bytes(Time now, ConnId conn, std::string_view in) {
@@ -207,18 +207,18 @@
     Link &link = it->second;
     // Nothing was asked: whatever this is, it must not be taken for the next one's answer.
     if (!link.busy) return drop(conn);
-    if (Shot &s = shots_.at(link.shot); s.first == 0) s.first = now;
+    if (Attempt &s = attempts_.at(link.attempt); s.first == 0) s.first = now;
     in.remove_prefix(link.in.take(in));
     auto state = link.in.state();
     if (state != http::State::whole && state != http::State::broken)
-        return due_at(conn, link, std::min(shots_.at(link.shot).until, now + connect_));
+        return due_at(conn, link, std::min(attempts_.at(link.attempt).until, now + connect_));
     answered(now, conn, in);
 }
 // The answer is whole or broken; `behind`: what came right behind it.
 void Pools::answered(Time now, ConnId conn, std::string_view behind) {
     Link &link = links_.at(conn);
     auto state = link.in.state();
-    auto key = link.shot;
+    auto key = link.attempt;
     Outcome how = Outcome::error;
     std::string body;
     bool keep = false;
@@ -245,11 +245,11 @@
     while (!due_.empty() && due_.begin()->first <= now) {
         auto conn = due_.begin()->second;
         Link &link = links_.at(conn);
-        auto key = link.shot;
+        auto key = link.attempt;
         bool busy = link.busy, handed = link.handed;
         drop(conn);
         if (!busy) continue;
-        auto &s = shots_.at(key);
+        auto &s = attempts_.at(key);
         // An answer that stopped short is spoilt: the node has done with it, and no more will come.
         Outcome how = s.until > now ? handed ? Outcome::error : Outcome::unreachable
                                     : handed ? Outcome::timed_out : Outcome::unsent;
--- a/src/platform/pools.hpp
+++ b/src/platform/pools.hpp
@@ -18,18 +18,18 @@
 
 namespace knotvane::platform {
 
-// What is asked of a node; the same for each shot of a task. The head is written anew for each shot.
+// What is asked of a node; the same for each attempt of a request. The head is written anew for each attempt.
 struct Work {
     std::string method, target, trace, mark, body; // mark: the Idempotency-Key, empty for none
 };
 
 // What pools tell and ask. `body`: of an answer.
-class ShotsTold {
+class AttemptsTold {
   public:
-    virtual ~ShotsTold() = default;
-    // Asked before a shot's first byte, and nowhere else: is somebody owed an answer, may the node have it now?
-    virtual bool may_begin(Time now, TaskId task, ShotId shot, NodeId node) const = 0;
-    virtual void shot_over(Time now, TaskId task, ShotId shot, NodeId node, Outcome how, Time took,
+    virtual ~AttemptsTold() = default;
+    // Asked before an attempt's first byte, and nowhere else: is somebody owed an answer, may the node have it now?
+    virtual bool may_begin(Time now, TaskId request, ShotId attempt, NodeId node) const = 0;
+    virtual void attempt_over(Time now, TaskId request, ShotId attempt, NodeId node, Outcome how, Time took,
                            std::string body) = 0;
 };
 
@@ -38,20 +38,20 @@
     // A connection that takes longer than `connect` failed, and so did an answer that stops for as long: both wait
     // for a peer that is there, across the same network. One idle for `idle` is closed by the node, so it is closed
     // here a margin before. `most`: connections to all nodes together.
-    Pools(Wires &wires, ShotsTold &told, Conns &conns, Time connect, Time idle, std::size_t most);
+    Pools(Wires &wires, AttemptsTold &told, Conns &conns, Time connect, Time idle, std::size_t most);
 
     // Where a node listens; connections to where it was before are not used any more.
     void node_at(Time now, NodeId node, const std::string &address);
-    // A node that drains, or is gone: shots out there go on; those that have not begun come back as unsent, idle
+    // A node that drains, or is gone: attempts out there go on; those that have not begun come back as unsent, idle
     // connections are closed.
     void node_drains(Time now, NodeId node);
     void node_gone(Time now, NodeId node);
     // Until `until` its outcome may come; then it is timed_out, or unsent where no byte went out.
-    void shoot(Time now, TaskId task, ShotId shot, NodeId node, std::shared_ptr<const Work> work, Time until);
+    void begin(Time now, TaskId request, ShotId attempt, NodeId node, std::shared_ptr<const Work> work, Time until);
     // Closes its connection before it is told.
-    void call_off(Time now, TaskId task, ShotId shot);
-    // Nobody is owed an answer any more: its shots whose last byte has not left come back as never run.
-    void withdraw(Time now, TaskId task);
+    void call_off(Time now, TaskId request, ShotId attempt);
+    // Nobody is owed an answer any more: its attempts whose last byte has not left come back as never run.
+    void withdraw(Time now, TaskId request);
 
     bool owns(ConnId conn) const { return links_.contains(conn); }
     void up(Time now, ConnId conn);
@@ -63,24 +63,24 @@
     Time next_due() const { return due_.empty() ? std::numeric_limits<Time>::max() : due_.begin()->first; }
     void tick(Time now);
     std::size_t open() const { return links_.size(); }
-    std::size_t shots_out() const { return shots_.size(); }
-    // Open connections with a shot on them, by node.
+    std::size_t attempts_out() const { return attempts_.size(); }
+    // Open connections with an attempt on them, by node.
     std::map<NodeId, std::size_t> busy() const;
 
   private:
-    using ShotKey = std::pair<TaskId, ShotId>;
+    using AttemptKey = std::pair<TaskId, ShotId>;
     struct Link {
         NodeId node;
         std::string address;
         bool up = false, leaving = false;
         bool busy = false;
-        ShotKey shot{};
-        std::size_t to_write = 0; // of the shot's request, bytes that have not left
+        AttemptKey attempt{};
+        std::size_t to_write = 0; // of the attempt's request, bytes that have not left
         bool handed = false;      // the request was given to the shell
         Time due = 0, opened = 0;
         http::Decoder in;
     };
-    struct Shot {
+    struct Attempt {
         NodeId node;
         ConnId conn;
         std::shared_ptr<const Work> work;
@@ -94,23 +94,23 @@
         std::size_t links = 0;
     };
     void give(Time now, ConnId conn, Link &link);
-    void over(Time now, const ShotKey &key, Outcome how, std::string body = {});
+    void over(Time now, const AttemptKey &key, Outcome how, std::string body = {});
     void drop(ConnId conn, bool close = true);
-    bool left(const Shot &shot) const;
-    void take_back(Time now, const ShotKey &key);
+    bool left(const Attempt &attempt) const;
+    void take_back(Time now, const AttemptKey &key);
     void answered(Time now, ConnId conn, std::string_view behind);
     void rest(Time now, ConnId conn, Link &link);
     void due_at(ConnId conn, Link &link, Time at);
     bool make_room();
 
     Wires &wires_;
-    ShotsTold &told_;
+    AttemptsTold &told_;
     Conns &conns_;
     Time connect_, idle_;
     std::size_t most_;
     std::map<ConnId, Link> links_;
     std::map<NodeId, Peer> peers_;
-    std::map<ShotKey, Shot> shots_;
+    std::map<AttemptKey, Attempt> attempts_;
     std::set<std::pair<Time, ConnId>> due_;
 };
 
--- a/src/platform/trace.cpp
+++ b/src/platform/trace.cpp
@@ -29,11 +29,11 @@
     auto at = text.find("trace ");
     if (at == text.npos) return;
     text.remove_prefix(at + 5);
-    if (text.starts_with(" shot ")) {
+    if (text.starts_with(" attempt ")) {
         auto how = field(text, "how"), over = field(text, "over"), first = field(text, "first"),
              connected = field(text, "connected");
         if (!how || !over || *how < 0 || *how > 7) return void(++broken_);
-        Shots &s = shots_[static_cast<int>(*how)];
+        Attempts &s = attempts_[static_cast<int>(*how)];
         s.over.push_back(*over), s.begun += first.has_value();
         if (first) s.answer.push_back(*over - *first);
         if (connected) s.connected.push_back(*connected);
@@ -53,7 +53,7 @@
     static constexpr const char *names[] = {"answered",    "error", "full",       "timed_out",
                                             "unreachable", "reset", "called_off", "unsent"};
     std::string out;
-    for (auto &[how, s] : shots_) {
+    for (auto &[how, s] : attempts_) {
         out += std::string(names[how]) + ": " + spread(s.over) + "\n";
         out += "  new connections: " + spread(s.connected) + "\n";
         out += "  begun to be answered: " + std::to_string(s.begun) + "; first byte to end: " + spread(s.answer) + "\n";
--- a/src/platform/trace.hpp
+++ b/src/platform/trace.hpp
@@ -17,11 +17,11 @@
     std::string report() const;
 
   private:
-    struct Shots {
+    struct Attempts {
         std::vector<std::int64_t> over, connected, answer; // us: since decided; of a new connection; first byte to last
         std::size_t begun = 0;                             // something came back
     };
-    std::map<int, Shots> shots_; // by outcome
+    std::map<int, Attempts> attempts_; // by outcome
     std::vector<std::int64_t> late_, told_;
     std::map<std::int64_t, std::size_t> apart_; // counted out less open, how often
     std::size_t looks_ = 0, broken_ = 0;
--- a/tests/fuzz/http_fuzz.cpp
+++ b/tests/fuzz/http_fuzz.cpp
@@ -24,7 +24,7 @@
     f.settle(5 * sec);
     auto &got = f.w.sent[asked];
     if (got.find("HTTP/1.1", 8) != got.npos) std::abort();                   // one answer
-    if (f.core.tasks() != 0 || f.core.pools().shots_out() != 0) std::abort(); // nothing held past its time
+    if (f.core.requests() != 0 || f.core.pools().attempts_out() != 0) std::abort(); // nothing held past its time
     for (auto &[conn, n] : f.w.sent)
         if (n.size() > (1 << 20)) std::abort();
     return 0;
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -1,4 +1,4 @@
-// The front in one: requests, shots, answers, what clients and nodes may do wrong, discovery, stopping.
+// The front in one: requests, attempts, answers, what clients and nodes may do wrong, discovery, stopping.
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -26,7 +26,7 @@
         CHECK(!has(f.w.sent[n], "Cookie"));
         f.answer(n, reply(200, "the body", "X-Store: 1\r\n"));
         CHECK(f.w.sent[c] == "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nthe body");
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
         // The next one on both connections.
         f.core.bytes(f.now, c, read_of("t2"));
         f.settle();
@@ -40,7 +40,7 @@
         CHECK(has(sent, "Idempotency-Key: k1\r\n"));
         CHECK(sent.ends_with("Content-Length: 3\r\n\r\n" + std::string("a\0b", 3)));
     }
-    TEST_CASE("a node's no before it ran is shot again; after it may have run, a write fails and a read goes again") {
+    TEST_CASE("a node's no before it ran is attempt again; after it may have run, a write fails and a read goes again") {
         for (bool writes : {false, true}) {
             Front f;
             auto c = f.client(writes ? write_of("t1", "x") : read_of("t1"));
@@ -73,9 +73,9 @@
         CHECK(told.starts_with("HTTP/1.1 503 "));
         f.settle(sec);
         CHECK(f.w.sent[c] == told);
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
     }
-    TEST_CASE("a client that leaves: its shot is closed, nothing is written to it") {
+    TEST_CASE("a client that leaves: its attempt is closed, nothing is written to it") {
         Front f;
         auto c = f.client(read_of("t1"));
         auto n = f.node();
@@ -83,8 +83,8 @@
         CHECK(f.w.closed.contains(n));
         f.answer(n, reply(200, "late"));
         CHECK(f.w.sent[c].empty());
-        CHECK(f.core.tasks() == 0);
-        CHECK(f.core.pools().shots_out() == 0);
+        CHECK(f.core.requests() == 0);
+        CHECK(f.core.pools().attempts_out() == 0);
     }
 }
 
@@ -171,7 +171,7 @@
             auto c = f.client(bad);
             CHECK((f.w.sent[c].starts_with("HTTP/1.1 4") || f.w.sent[c].starts_with("HTTP/1.1 501")));
             CHECK(f.w.closed.contains(c));
-            CHECK(f.core.tasks() == 0);
+            CHECK(f.core.requests() == 0);
             CHECK(f.core.clients().open() == 0);
         }
     }
@@ -180,7 +180,7 @@
         f.client(read_of("t1"));
         auto c = f.client(read_of("t1"));
         CHECK(f.w.sent[c].starts_with("HTTP/1.1 409 "));
-        CHECK(f.core.tasks() == 1);
+        CHECK(f.core.requests() == 1);
     }
     TEST_CASE("who says nothing, or does not come to an end, is closed within its time") {
         Front f;
@@ -207,10 +207,10 @@
     TEST_CASE("requests sent at once are served one at a time, in order") {
         Front f;
         auto c = f.client(read_of("t1") + read_of("t2") + "GET /healthz HTTP/1.1\r\n\r\n");
-        CHECK(f.core.tasks() == 1);
+        CHECK(f.core.requests() == 1);
         auto n = f.node();
         f.answer(n, reply(200, "one"));
-        CHECK(f.core.tasks() == 1);
+        CHECK(f.core.requests() == 1);
         f.answer(n, reply(200, "two"));
         CHECK(f.w.sent[c] == "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"
                              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
@@ -225,7 +225,7 @@
             if (leaves) {
                 f.gone(c);
                 CHECK(f.w.closed.contains(n));
-                CHECK(f.core.tasks() == 0);
+                CHECK(f.core.requests() == 0);
                 continue;
             }
             f.answer(n, reply(200, "one"));
@@ -266,7 +266,7 @@
         CHECK(!f.w.closed.contains(asks));
         CHECK(!f.w.closed.contains(late));
         CHECK(f.w.closed.contains(silent.front()));
-        CHECK(f.core.tasks() == 2);
+        CHECK(f.core.requests() == 2);
     }
 }
 
@@ -376,7 +376,7 @@
             f.core.gone(f.now, c, Gone::ended);
             f.settle(20 * ms);
         }
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
         CHECK(f.core.clients().open() == 0);
         CHECK(f.core.pools().open() == 0);
     }
@@ -384,10 +384,10 @@
 
 TEST_CASE("a trace tells where what was counted and what was open differ, and what it can't read") {
     Trace t;
-    for (auto line : {"[1] info trace shot task=1 shot=0 node=2 conn=3 how=0 at=5 connected=100 written=120 first=900 over=950",
-                      "trace shot task=2 shot=0 node=2 conn=3 how=5 at=5 connected=- written=- first=- over=70",
-                      "trace told task=1 shot=0 late=40", "trace late us=2500", "trace node id=2 counted=3 open=1",
-                      "trace node id=2 counted=1 open=1", "serves address=x", "trace shot how=x", "trace node counted=-"})
+    for (auto line : {"[1] info trace attempt request=1 attempt=0 node=2 conn=3 how=0 at=5 connected=100 written=120 first=900 over=950",
+                      "trace attempt request=2 attempt=0 node=2 conn=3 how=5 at=5 connected=- written=- first=- over=70",
+                      "trace told request=1 attempt=0 late=40", "trace late us=2500", "trace node id=2 counted=3 open=1",
+                      "trace node id=2 counted=1 open=1", "serves address=x", "trace attempt how=x", "trace node counted=-"})
         t.line(line);
     auto r = t.report();
     for (auto part : {"answered: 1, us 950 in", "begun to be answered: 1; first byte to end: 1, us 50", "reset: 1, us 70",
--- a/tests/platform/crossings_test.cpp
+++ b/tests/platform/crossings_test.cpp
@@ -33,7 +33,7 @@
             f.core.up(f.now += 200 * ms, n); // crossing the close
             f.settle(ms);
             CHECK(!asked(f, n, "t1"));
-            CHECK(f.core.tasks() == 0);
+            CHECK(f.core.requests() == 0);
             CHECK(f.core.pools().open() == 0);
         }
     }
@@ -45,7 +45,7 @@
         f.core.gone(f.now, c, Gone::broken); // before the moment's end, in which it would leave
         f.settle();
         CHECK(f.w.closed.contains(n));
-        CHECK(f.core.pools().shots_out() == 0);
+        CHECK(f.core.pools().attempts_out() == 0);
     }
     TEST_CASE("while its request is half written: the last byte never leaves") {
         Front f(no_cancel);
@@ -57,7 +57,7 @@
         CHECK(f.w.closed.contains(n));
         f.w.unwritten.clear();
         f.settle();
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
     }
     TEST_CASE("after its request was written: where that may not be called off it goes on, and is counted out") {
         Front f(no_cancel);
@@ -65,9 +65,9 @@
         auto n = f.node();
         f.gone(c);
         CHECK(!f.w.closed.contains(n));
-        CHECK(f.core.pools().shots_out() == 1);
+        CHECK(f.core.pools().attempts_out() == 1);
         f.answer(n, reply(200, "late"));
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
         CHECK(f.w.sent[c].empty());
     }
     TEST_CASE("while it waits at a node, and when its first attempt failed: no attempt follows") {
@@ -85,7 +85,7 @@
         for (auto waiting : clients) g.core.gone(g.now, waiting, Gone::ended);
         g.settle(50 * ms);
         CHECK(g.w.connected.size() == before);
-        CHECK(g.core.tasks() == 0);
+        CHECK(g.core.requests() == 0);
     }
     TEST_CASE("in the turn in which its answer came: nothing is written to it, and nothing is left") {
         for (bool answer_first : {false, true}) {
@@ -97,7 +97,7 @@
             if (!answer_first) f.core.bytes(f.now, n, reply(200, "one"));
             f.settle();
             CHECK(f.w.sent[c].empty());
-            CHECK(f.core.tasks() == 0);
+            CHECK(f.core.requests() == 0);
             CHECK(f.core.clients().held() == 0);
         }
     }
@@ -173,7 +173,7 @@
                     bool harmless = attempts == 0 || e.effect == "idempotent" || e.group == "all";
                     if (e.effect == "at_most_once") harmless = never && attempts == made;
                     if (!harmless) CHECK(!has(f.w.sent[c], "HTTP/1.1 503 "));
-                    CHECK(f.core.tasks() == 0);
+                    CHECK(f.core.requests() == 0);
                 }
     }
 }
@@ -190,7 +190,7 @@
             CHECK(f.w.shutting.contains(c));
             f.core.bytes(f.now, c, read_of("t2"));
             f.settle();
-            CHECK(f.core.tasks() == 0);
+            CHECK(f.core.requests() == 0);
             CHECK(!asked(f, n, "t2"));
             CHECK(f.core.clients().open() == 0);
             CHECK(f.core.clients().held() == 1);
@@ -221,7 +221,7 @@
         CHECK(f.w.shutting.contains(c));
         f.core.bytes(f.now, c, read_of("t1"));
         f.settle();
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
     }
     // One more would take a descriptor from the nodes and from discovery.
     TEST_CASE("where every client has a request open, one more is not taken; those that only end go first") {
@@ -285,7 +285,7 @@
             stopped_until(f, told + 2000 * ms);
             CHECK(f.w.sent[c].starts_with(up ? "HTTP/1.1 50" : "HTTP/1.1 503"));
             CHECK(f.core.over());
-            CHECK(f.core.tasks() == 0);
+            CHECK(f.core.requests() == 0);
         }
     }
     TEST_CASE("who comes after resting connections ended is ended too, with nothing taken") {
@@ -300,7 +300,7 @@
         CHECK(f.w.shutting.contains(late));
         f.core.bytes(f.now, late, read_of("t1"));
         f.settle();
-        CHECK(f.core.tasks() == 0);
+        CHECK(f.core.requests() == 0);
         f.gone(rests), f.gone(late);
         f.settle(ms);
         CHECK(f.core.over()); // sooner, as nobody is left
