Check deadlines in the settings; what a site may leave out has no bound

Tried as a new customer would: a class without a deadline, or below 0, was taken with 0 s (a stop ended at once), without a target it was denied at once, and without ConnectTimeoutS no connection came up. Each in a test that fails without it.

--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -25,19 +25,29 @@
     return sockets > taken ? sockets - taken : 1;
 }
 
+// A time that a site may leave out: there is no such bound then.
+Time bound(const wire::Options &settings, const std::string &path) {
+    Time t = settings.time(path);
+    if (t < 0) throw wire::Malformed("setting " + path + ": expected seconds, 0 or more");
+    return t > 0 ? t : Pools::unbounded;
+}
+
 } // namespace
 
 Core::Core(Wires &wires, const std::function<std::unique_ptr<Scheduler>(Actions &)> &scheduler,
            const wire::Options &settings, std::vector<std::string> workloads, std::vector<std::string> plans,
            std::vector<std::string> zones, std::uint64_t seed, std::size_t sockets)
     : wires_(wires), clients_(wires, *this, conns_, std::move(workloads), std::move(plans), for_clients(sockets)),
-      pools_(wires, *this, conns_, settings.time("Permissions.ConnectTimeoutS"), settings.time("Permissions.ConnIdleS"),
-             for_nodes(sockets)),
+      pools_(wires, *this, conns_, bound(settings, "Permissions.ConnectTimeoutS"),
+             bound(settings, "Permissions.ConnIdleS"), for_nodes(sockets)),
       discovery_(wires, *this, conns_, std::move(zones), settings.text("RegistryMode") == "on_request", seed),
       scheduler_(scheduler(*this)) {
     wire::set_up(*scheduler_, settings);
-    for (std::uint32_t i = 0; i < settings.count("Classes.count"); ++i)
-        longest_ = std::max(longest_, settings.time("Classes." + std::to_string(i) + ".DeadlineS"));
+    for (std::uint32_t i = 0; i < settings.count("Classes.count"); ++i) {
+        auto path = "Classes." + std::to_string(i) + ".DeadlineS";
+        if (settings.time(path) <= 0) throw wire::Malformed("setting " + path + ": expected seconds above 0");
+        longest_ = std::max(longest_, settings.time(path));
+    }
 }
 
 std::string Core::start(Time now, const std::string &known, const std::string &discovery) {
--- a/src/platform/pools.hpp
+++ b/src/platform/pools.hpp
@@ -35,6 +35,7 @@
 
 class Pools {
   public:
+    static constexpr Time unbounded = 3600 * sec; // far past all that is waited for
     // A connection that takes longer than `connect` failed, and so did an answer that stops for as long: both wait
     // for a peer that is there, across the same network. One idle for `idle` is closed by the node, so it is closed
     // here a margin before. `most`: connections to all nodes together.
--- a/src/wire/setup.cpp
+++ b/src/wire/setup.cpp
@@ -49,7 +49,8 @@
     for (std::uint32_t i = 0; i < o.count("Classes.count"); ++i) {
         std::string at = "Classes." + std::to_string(i) + ".";
         WorkloadId id{i};
-        to.add_workload(id, o.time(at + "TargetS"), o.time(at + "DeadlineS"), o.number(at + "Points"),
+        // Without a target of its own a class is in time until its deadline.
+        to.add_workload(id, o.time(at + (o.has(at + "TargetS") ? "TargetS" : "DeadlineS")), o.time(at + "DeadlineS"), o.number(at + "Points"),
                         o.number(at + "LateWorth"));
         to.set_repeat(id, repeat_of(o.text(at + "Effect"), at + "Effect"),
                       group_of(o.text(at + "Group"), at + "Group"), o.time(at + "RepeatWindowS"));
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -424,6 +424,26 @@
         CHECK(has(r, part));
     }
 }
+// A class without a deadline was taken with one of 0 s: a stop ended at once. Without a connect timeout none came up.
+TEST_CASE("settings: what a site may leave out has no bound, what it may not is told with its path") {
+    Front f("Permissions.ConnectTimeoutS=0\nPermissions.ConnIdleS=0\n");
+    auto c = f.client(read_of("t1"));
+    auto n = f.node(100 * ms);
+    f.answer(n, reply(200, "one"));
+    CHECK(f.w.sent[c].ends_with("one"));
+    for (int i = 0; i < 20; ++i) f.settle(sec), f.blank();
+    CHECK(!f.w.closed.contains(n));
+    for (std::string wrong : {"Classes.1.DeadlineS=0", "Classes.1.DeadlineS=-1", "Permissions.ConnIdleS=-1"})
+        CHECK_THROWS_WITH_AS(Front{wrong + "\n"}, doctest::Contains(wrong.substr(0, wrong.find('=')).c_str()),
+                             wire::Malformed);
+    auto usual = settings_text();
+    const std::string target = "Classes.0.TargetS=0.15\n";
+    usual.erase(usual.find(target), target.size());
+    Front g("", usual);
+    c = g.client(read_of("t1"));
+    g.answer(g.node(), reply(200, "one"), 200 * ms); // in time until its deadline
+    CHECK(g.w.sent[c].ends_with("one"));
+}
 TEST_CASE("configuration: settings at the simulator's paths, names in order, a fault names its field") {
     std::string good = R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
         "limits":{"sockets":256},"settings":{"Classes":[{"Name":"a b","TargetS":0.15},{"Name":"c"}],"Report":{"Columns":[]},
--- a/tests/platform/helpers.hpp
+++ b/tests/platform/helpers.hpp
@@ -98,8 +98,8 @@
     Time now = 1000 * sec;
     Core core;
     // `more`: lines of settings, which count over the usual ones.
-    explicit Front(const std::string &more = "")
-        : core(w, [](Actions &a) { return make_scheduler(a, 7); }, wire::Options(settings_text() + more),
+    explicit Front(const std::string &more = "", const std::string &usual = settings_text())
+        : core(w, [](Actions &a) { return make_scheduler(a, 7); }, wire::Options(usual + more),
                {"read", "write"}, {"gold"}, {"a", "b"}, 1, 256) {
         core.start(now, list_of(41, node_entry("s1", "n1", 5)), "d1");
         if (w.to("d1").value == 0) settle(sec); // where lists are asked for, the first call comes by chance within a second
