Wait for a last answer to leave before the short wait for its client's end

Found by reading: the lingering close counted its 0.5 s from the answer's hand-over, so that a client which reads a long last answer more slowly was cut off in it. Clients now counts what has left; the test of it fails with the old bound (the connection is closed 0.5 s after the hand-over).

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -24,6 +24,8 @@
 // unread bytes resets the connection and takes the answer along. A client answers an end in a round trip; who sends 60 MB
 // regardless is owed no more than a close.
 constexpr Time linger = 500 * ms;
+// Before that, how long its last answer may take to leave: past any wait that its client told, 3 s at most.
+constexpr Time leaves_within = 5 * sec;
 constexpr std::size_t most_thrown = 1 << 20;
 // A request's id is fresh. So many are remembered: some ten seconds of a busy scheduler.
 constexpr std::size_t most_traces = 4096;
@@ -116,7 +118,7 @@
 void Clients::finish(Time now, ConnId conn, Client &c) {
     c.ended = true, c.open = false, ++ended_;
     c.behind.clear();
-    due_at(conn, c, now + linger);
+    due_at(conn, c, now + (c.unsent > 0 ? leaves_within : linger));
     wires_.shut(conn);
 }
 void Clients::finish_resting(Time now) {
@@ -249,6 +251,7 @@
     std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\n" + headers +
                        "Content-Length: " + std::to_string(body.size()) + "\r\n" +
                        (last ? "Connection: close\r\n\r\n" : "\r\n");
+    c.unsent += head.size() + body.size();
     wires_.send(conn, head + std::move(body));
     if (last) return finish(now, conn, c);
     c.open = false, c.served = true, c.since = now;
@@ -256,6 +259,13 @@
     due_at(conn, c, now + idle_most);
     if (!c.behind.empty()) resume_.insert(conn);
 }
+void Clients::written(Time now, ConnId conn, std::size_t bytes) {
+    auto it = clients_.find(conn);
+    if (it == clients_.end()) return;
+    Client &c = it->second;
+    c.unsent -= std::min(bytes, c.unsent);
+    if (c.ended && c.unsent == 0) due_at(conn, c, now + linger);
+}
 void Clients::resume(Time now) {
     for (auto conn : std::exchange(resume_, {}))
         for (auto it = clients_.find(conn); it != clients_.end() && !it->second.open && !it->second.behind.empty();
--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -45,6 +45,7 @@
     std::optional<ConnId> came(Time now);
     void bytes(Time now, ConnId conn, std::string_view in);
     void gone(Time now, ConnId conn);
+    void written(Time now, ConnId conn, std::size_t bytes);
 
     // The answers: a node's body; trying again is harmless, and when (0: untold); failed.
     void answer(Time now, ConnId conn, std::string body);
@@ -75,6 +76,7 @@
         Time due = 0, since = 0; // since: it came, or its last answer left
         // served: it had an answer; last: the answer ends it; deaf: no more requests are read; ended: our side has ended, the client's has not.
         bool heard = false, open = false, served = false, last = false, deaf = false, ended = false;
+        std::size_t unsent = 0; // bytes of its answers that have not left
         std::size_t thrown = 0; // bytes that came after our end
         std::deque<std::pair<Time, std::string>> behind; // what came while a request was open, and when
     };
--- a/src/platform/core.cpp
+++ b/src/platform/core.cpp
@@ -84,6 +84,10 @@
     pools_.owns(conn) ? pools_.gone(now, conn, how) : discovery_.gone(now, conn);
 }
 
+void Core::written(Time now, ConnId conn, std::size_t bytes) {
+    clients_.owns(conn) ? clients_.written(now, conn, bytes) : pools_.written(now, conn, bytes);
+}
+
 void Core::settle(Time now) {
     now_ = now;
     if (wires_.traces()) trace_counts(now);
--- a/src/platform/core.hpp
+++ b/src/platform/core.hpp
@@ -42,7 +42,7 @@
     void failed(Time now, ConnId conn, bool tried = true);
     void bytes(Time now, ConnId conn, std::string_view in);
     void gone(Time now, ConnId conn, Gone how);
-    void written(Time now, ConnId conn, std::size_t bytes) { pools_.written(now, conn, bytes); }
+    void written(Time now, ConnId conn, std::size_t bytes);
     // At the end of a moment: what is due, then the outcomes, then the decisions.
     void settle(Time now);
     Time next_due() const;
--- a/tests/platform/crossings_test.cpp
+++ b/tests/platform/crossings_test.cpp
@@ -208,6 +208,23 @@
             CHECK(f.core.clients().held() == 0);
         }
     }
+    TEST_CASE("a client that reads its last answer slowly has time for it; the wait for its end begins after that") {
+        Front f;
+        auto c = f.client(read_of("t1", "Connection: close\r\n"));
+        auto n = f.node();
+        f.core.bytes(f.now, n, reply(200, std::string(900'000, 'b')));
+        f.core.settle(f.now);
+        auto size = std::exchange(f.w.unwritten, {})[c];
+        REQUIRE(size > 900'000);
+        f.core.written(f.now, c, 200'000);
+        f.settle(1500 * ms), f.blank(), f.settle(1500 * ms);
+        CHECK(f.w.shutting.contains(c));
+        f.core.written(f.now, c, size - 200'000);
+        f.settle(499 * ms);
+        CHECK(f.w.shutting.contains(c));
+        f.settle(ms);
+        CHECK(!f.w.shutting.contains(c));
+    }
     TEST_CASE("who sends without end after our end is cut off, bounded in bytes") {
         Front f;
         auto c = f.client("GET /none HTTP/1.1\r\nHost: s\r\n\r\n");
