--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -275,6 +275,17 @@
             CHECK(!has(sent, "X-Trace-Id: cut"));
         }
     }
+    TEST_CASE("past that bound, a request that was cut is refused at once, not when its time is up") {
+        Front f;
+        auto c = f.client(read_of("t1"));
+        auto n = f.node();
+        f.core.bytes(f.now, c, read_of("cut").substr(0, 40));
+        f.core.bytes(f.now, c, std::string(80'000, 'x'));
+        f.answer(n, reply(200, "one"));
+        CHECK(has(f.w.sent[c], "HTTP/1.1 200 "));
+        CHECK(has(f.w.sent[c], "HTTP/1.1 413 "));
+        CHECK(f.w.shutting.contains(c));
+    }
     TEST_CASE("past its bound an idle connection goes before one that just came, whose request may wait unread") {
         Front f;
         std::vector<ConnId> idle;
--- a/tests/platform/discovery_test.cpp
+++ b/tests/platform/discovery_test.cpp
@@ -225,6 +225,7 @@
             firsts.insert(core.next_due());
         }
         CHECK(firsts.size() == 8);
+        CHECK(*firsts.rbegin() - *firsts.begin() > 200 * ms);
         CHECK(*firsts.rbegin() < 1001 * sec);
     }
 }
