--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -454,6 +454,10 @@
     c = g.client(read_of("t1"));
     g.answer(g.node(), reply(200, "one"), 200 * ms); // in time until its deadline
     CHECK(g.w.sent[c].ends_with("one"));
+    std::vector<ConnId> wait;
+    for (int i = 0; i < 8; ++i) wait.push_back(g.client(read_of("w" + std::to_string(i))));
+    g.settle(20 * ms);
+    CHECK(g.core.requests() == wait.size()); // none is late yet
 }
 TEST_CASE("configuration: settings at the simulator's paths, names in order, a fault names its field") {
     std::string good = R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
