--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -74,7 +74,8 @@
     struct Client {
         http::Decoder in{http::Side::requests, most_head, most_body};
         Time due = 0, since = 0; // since: it came, or its last answer left
-        // served: it had an answer; last: the answer ends it; deaf: no more requests are read; ended: our side has ended, the client's has not.
+        // served: it had an answer; last: the answer ends it; deaf: no more requests are read; ended: our side has
+        // ended, the client's has not.
         bool heard = false, open = false, served = false, last = false, deaf = false, ended = false;
         std::size_t unsent = 0; // bytes of its answers that have not left
         std::size_t thrown = 0; // bytes that came after our end
