Count what waits behind a request as it comes; one has() for the platform's tests

Clients::bytes added up all kept pieces at each new one: a client that sends in single bytes behind an open request made that quadratic.

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -84,8 +84,8 @@
     due_at(conn, c, now + silent);
     return conn;
 }
-// Out goes who is ended already; then who has said nothing for a while, the longest there; else who may be closed for being idle; else who is not
-// done with a head; else any idle one. Who is just here comes last: its request may wait unread. Guards against crowds
+// Out goes who is ended already; then who has said nothing for a while, the longest there; else who may be closed for
+// being idle; else who is not done with a head; else any idle one. Who is just here comes last: its request may wait unread. Guards against crowds
 // that ask once and stay, by which usual clients were turned away at the door.
 void Clients::shed(Time now) {
     auto rank = [&](const Client &c) {
@@ -117,7 +117,7 @@
 // What is owed leaves, then our side ends; the rest is thrown away until the client's end, or for a short while.
 void Clients::finish(Time now, ConnId conn, Client &c) {
     c.ended = true, c.open = false, ++ended_;
-    c.behind.clear();
+    c.behind.clear(), c.kept = 0;
     due_at(conn, c, now + (c.unsent > 0 ? leaves_within : linger));
     wires_.shut(conn);
 }
@@ -138,12 +138,10 @@
     }
     if (c.deaf) return;
     if (!c.open && c.behind.empty()) return read(now, now, conn, in);
-    std::size_t kept = 0;
-    for (auto &[at, bytes] : c.behind) kept += bytes.size();
-    if (kept + in.size() > most_behind)
+    if (c.kept + in.size() > most_behind)
         c.deaf = true;
     else
-        c.behind.emplace_back(now, in);
+        c.behind.emplace_back(now, in), c.kept += in.size();
 }
 void Clients::read(Time now, Time came, ConnId conn, std::string_view in) {
     while (!in.empty()) {
@@ -164,7 +162,8 @@
         if (it->second.ended) return;
         if (it->second.open) {
             it->second.deaf |= in.size() > most_behind;
-            if (!in.empty()) it->second.behind.emplace_front(came, in.substr(0, most_behind));
+            in = in.substr(0, most_behind);
+            if (!in.empty()) it->second.behind.emplace_front(came, in), it->second.kept += in.size();
             return;
         }
     }
@@ -271,7 +270,7 @@
         for (auto it = clients_.find(conn); it != clients_.end() && !it->second.open && !it->second.behind.empty();
              it = clients_.find(conn)) {
             auto [came, in] = std::move(it->second.behind.front());
-            it->second.behind.pop_front();
+            it->second.behind.pop_front(), it->second.kept -= in.size();
             read(now, came, conn, in);
         }
 }
--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -80,6 +80,7 @@
         std::size_t unsent = 0; // bytes of its answers that have not left
         std::size_t thrown = 0; // bytes that came after our end
         std::deque<std::pair<Time, std::string>> behind; // what came while a request was open, and when
+        std::size_t kept = 0;                            // bytes of it
     };
     // `came`: when these bytes did; a client's time starts there, also where they had to wait.
     void read(Time now, Time came, ConnId conn, std::string_view in);
--- a/tests/platform/core_test.cpp
+++ b/tests/platform/core_test.cpp
@@ -9,12 +9,6 @@
 using namespace knotvane;
 using namespace knotvane::platform;
 
-namespace {
-
-bool has(const std::string &s, const std::string &part) { return s.find(part) != s.npos; }
-
-} // namespace
-
 TEST_SUITE("requests and answers") {
     TEST_CASE("a read goes to the node that holds its shard and comes back as the node gave it") {
         Front f;
--- a/tests/platform/crossings_test.cpp
+++ b/tests/platform/crossings_test.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-bool has(const std::string &s, const std::string &part) { return s.find(part) != s.npos; }
 std::size_t count_of(const std::string &s, const std::string &part) {
     std::size_t n = 0;
     for (auto at = s.find(part); at != s.npos; at = s.find(part, at + part.size())) ++n;
--- a/tests/platform/discovery_test.cpp
+++ b/tests/platform/discovery_test.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-bool has(const std::string &s, const std::string &part) { return s.find(part) != s.npos; }
 // Whether a request goes to that address now.
 bool goes_to(Front &f, const std::string &trace, const std::string &address) {
     f.client(read_of(trace));
--- a/tests/platform/helpers.hpp
+++ b/tests/platform/helpers.hpp
@@ -28,6 +28,8 @@
 
 namespace knotvane::platform {
 
+inline bool has(const std::string &s, const std::string &part) { return s.find(part) != s.npos; }
+
 struct Written final : Wires {
     std::vector<std::pair<ConnId, std::string>> connected;
     std::map<ConnId, std::string> sent;
