Add a check that builds with the deploy file's packages alone

Seen: the users' new machine has the packages that deploy/balancer.toml lists, and the build fails. This machine has all that the setup installs, so that a build here says nothing.

Change: scripts/check-deploy-build takes `build`, `packages`, `run` and `sim` from the deploy file, resolves the packages with apt against an empty package status, unpacks them into a folder of its own, and builds an export of the commit there as an ordinary user with that folder's compiler, CMake and make.

--- /dev/null
+++ b/scripts/deploy_build/registry.py
@@ -0,0 +1,156 @@
+"""Resolves and downloads Debian packages as a machine without any package would.
+
+What this machine has installed doesn't count: apt is called with a state, an empty package status and a cache of
+its own. Nothing is installed.
+"""
+
+import fcntl
+import os
+import re
+import subprocess
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from .errors import CheckError
+
+# For one call of apt. Resolving takes a second, the first download of all packages a quarter of a minute.
+_APT_TIMEOUT_SECONDS = 600
+
+# Stands for the packages that every Debian machine has.
+ESSENTIAL = "?essential"
+
+
+@dataclass(frozen=True, order=True)
+class Package:
+    """One version of a Debian package."""
+
+    name: str
+    version: str
+    architecture: str
+
+    @property
+    def archive_name(self) -> str:
+        """The file name that apt gives the package in its cache; it holds name and version."""
+        return f"{self.name}_{self.version.replace(':', '%3a')}_{self.architecture}.deb"
+
+
+def default_cache() -> Path:
+    """Where downloads are kept between runs."""
+    if os.geteuid() == 0:
+        return Path("/var/cache/knotvane-deploy-build")
+    home = Path(os.environ.get("XDG_CACHE_HOME") or Path.home() / ".cache")
+    return home / "knotvane-deploy-build"
+
+
+class Registry:
+    """The package registry that this machine's apt is set up for.
+
+    `cache` is created where it is missing; several checks may share it. `apt_options` go with each call of apt.
+    """
+
+    def __init__(self, cache: Path, apt_options: Iterable[str] = ()):
+        self._cache = cache
+        self._archives = cache / "archives"
+        (cache / "lists" / "partial").mkdir(parents=True, exist_ok=True)
+        (self._archives / "partial").mkdir(parents=True, exist_ok=True)
+        empty_status = cache / "empty-status"
+        empty_status.write_text("")
+        self._options = [
+            f"-oDir::State={cache}",
+            f"-oDir::State::lists={cache / 'lists'}",
+            f"-oDir::State::status={empty_status}",
+            f"-oDir::State::extended_states={cache / 'extended-states'}",
+            f"-oDir::Cache={cache}",
+            f"-oDir::Cache::archives={self._archives}",
+            # Checks that share the cache wait for one another in _locked; apt would fail at once instead.
+            "-oDebug::NoLocking=1",
+            # The build must not come to rest on what is only recommended.
+            "-oAPT::Install-Recommends=0",
+            "-oAPT::Get::Assume-Yes=1",
+            *apt_options,
+        ]
+
+    def refresh(self) -> None:
+        """Fetches the lists of packages anew. Raises CheckError where the registry can't be reached."""
+        with self._locked():
+            result = self._apt("update", "--error-on=any")
+        if result.returncode != 0:
+            raise CheckError(
+                f"the package registry can't be reached: {_first_complaint(result)}; expected its lists"
+            )
+
+    def resolve(self, names: Iterable[str], source: str) -> frozenset[Package]:
+        """Returns the named packages and all that they depend on. `source`: where the names stand, for errors."""
+        result = self._apt("install", "--simulate", *names)
+        if result.returncode == 0:
+            return frozenset(_planned_installs(result.stdout))
+        unknown = re.search(r"(?:Unable to locate package|Package) '?([^\s']+)'?", result.stderr)
+        if unknown:
+            raise CheckError(
+                f"{source}: the package registry has no package {unknown[1]}; expected a Debian package's name"
+            )
+        raise CheckError(f"{source}: the packages can't be installed together: {_first_complaint(result)}")
+
+    def download(self, names: Iterable[str], packages: Iterable[Package]) -> dict[Package, Path]:
+        """Downloads what `resolve` told for `names`, and returns each package's archive. Kept ones are used."""
+        with self._locked():
+            result = self._apt("install", "--download-only", *names)
+        if result.returncode != 0:
+            raise CheckError(
+                f"the package registry can't be reached: {_first_complaint(result)}; expected the packages' files"
+            )
+        archives = {package: self._archives / package.archive_name for package in packages}
+        for package, archive in archives.items():
+            if not archive.is_file():
+                raise CheckError(
+                    f"the package registry gave no {package.name} {package.version}; expected {archive.name}"
+                )
+        return archives
+
+    def _apt(self, action: str, *arguments: str) -> subprocess.CompletedProcess:
+        environment = {**os.environ, "LC_ALL": "C.UTF-8", "DEBIAN_FRONTEND": "noninteractive"}
+        command = ["apt-get", "-q", *self._options, action, *arguments]
+        try:
+            return subprocess.run(
+                command,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                capture_output=True,
+                text=True,
+                timeout=_APT_TIMEOUT_SECONDS,
+                check=False,
+            )
+        except FileNotFoundError as error:
+            raise CheckError("apt-get: not on this machine; expected a Debian machine") from error
+        except subprocess.TimeoutExpired as error:
+            raise CheckError(
+                f"the package registry can't be reached: no answer in {_APT_TIMEOUT_SECONDS} s; expected packages"
+            ) from error
+
+    @contextmanager
+    def _locked(self) -> Iterator[None]:
+        """Holds the cache for this process alone."""
+        with open(self._cache / "lock", "w", encoding="utf-8") as lock:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            yield
+
+
+def _planned_installs(simulation: str) -> Iterator[Package]:
+    """Reads apt's plan. A line: Inst NAME (VERSION ORIGIN [ARCHITECTURE]) ..."""
+    for line in simulation.splitlines():
+        planned = re.match(r"Inst (\S+) \((\S+) [^\[]*\[(\w+)\]\)", line)
+        if planned:
+            yield Package(planned[1], planned[2], planned[3])
+        elif line.startswith("Inst "):
+            raise CheckError(
+                f"apt-get: its plan has a line of an unknown form; expected 'Inst NAME (VERSION ...)': {line}"
+            )
+
+
+def _first_complaint(result: subprocess.CompletedProcess) -> str:
+    """Returns apt's first error, or its first warning where there is none."""
+    complaints = [line for line in result.stderr.splitlines() if line.startswith(("E:", "W:"))]
+    complaints.sort(key=lambda line: not line.startswith("E:"))
+    return complaints[0] if complaints else f"apt-get ended with status {result.returncode}"
