--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -5,6 +5,11 @@
 add_test(NAME decisions COMMAND knotvane_tests)
 add_test(NAME known_red COMMAND ${CMAKE_SOURCE_DIR}/tests/known_red_test)
 
+# The commit, built with the deploy file's packages alone; needs the package registry.
+add_test(NAME deploy_build COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-deploy-build)
+# Two builds, of which the deploy page gives each twenty minutes; without load both take three together.
+set_tests_properties(deploy_build PROPERTIES TIMEOUT 2400)
+
 if(KNOTVANE_PROGRAM)
   add_library(rapidcheck_lib INTERFACE)
   target_link_libraries(rapidcheck_lib INTERFACE rapidcheck)
