Test the lists of packages and the registry; use a kept download only if it is whole

Seen, by a test: apt takes a kept archive of the right size for whole, whatever is in it; the verdict would rest on it. Archives are held against the SHA256 that the registry's list tells, before and after the download.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -5,6 +5,14 @@
 add_test(NAME decisions COMMAND knotvane_tests)
 add_test(NAME known_red COMMAND ${CMAKE_SOURCE_DIR}/tests/known_red_test)
 
+# The lists of packages and the check of the deploy build itself.
+find_package(Python3 3.11 REQUIRED COMPONENTS Interpreter)
+add_test(
+  NAME deploy_lists
+  COMMAND Python3::Interpreter -B -m unittest -v tests.deploy.package_lists_test tests.deploy.setup_test
+          tests.deploy.diagnosis_test tests.deploy.registry_test
+  WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+set_tests_properties(deploy_lists PROPERTIES TIMEOUT 600)
 # The commit, built with the deploy file's packages alone; needs the package registry.
 add_test(NAME deploy_build COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-deploy-build)
 # Two builds, of which the deploy page gives each twenty minutes; without load both take three together.
--- a/scripts/deploy_build/package_lists.py
+++ b/scripts/deploy_build/package_lists.py
@@ -43,12 +43,13 @@
 def parse_deploy_file(content: bytes, name: str) -> DeployFile:
     """Returns the commands and packages of a deploy file with that content."""
     table = _parse(content, name, ["packages"], _EXPECTED_LIST)
+    packages = _package_list(name, table, "packages")
     return DeployFile(
         name=name,
         build=_command(name, table, "build"),
         run=_command(name, table, "run"),
         sim=_command(name, table, "sim"),
-        packages=_package_list(name, table, "packages"),
+        packages=packages,
     )
 
 
--- a/scripts/deploy_build/registry.py
+++ b/scripts/deploy_build/registry.py
@@ -5,6 +5,7 @@
 """
 
 import fcntl
+import hashlib
 import os
 import re
 import subprocess
@@ -29,6 +30,7 @@
     name: str
     version: str
     architecture: str
+    sha256: str
 
     @property
     def archive_name(self) -> str:
@@ -55,6 +57,9 @@
         self._archives = cache / "archives"
         (cache / "lists" / "partial").mkdir(parents=True, exist_ok=True)
         (self._archives / "partial").mkdir(parents=True, exist_ok=True)
+        # apt names the files of those packages alone that aren't in the folder of archives.
+        self._no_archives = cache / "no-archives"
+        (self._no_archives / "partial").mkdir(parents=True, exist_ok=True)
         empty_status = cache / "empty-status"
         empty_status.write_text("")
         self._options = [
@@ -63,7 +68,6 @@
             f"-oDir::State::status={empty_status}",
             f"-oDir::State::extended_states={cache / 'extended-states'}",
             f"-oDir::Cache={cache}",
-            f"-oDir::Cache::archives={self._archives}",
             # Checks that share the cache wait for one another in _locked; apt would fail at once instead.
             "-oDebug::NoLocking=1",
             # The build must not come to rest on what is only recommended.
@@ -83,9 +87,11 @@
 
     def resolve(self, names: Iterable[str], source: str) -> frozenset[Package]:
         """Returns the named packages and all that they depend on. `source`: where the names stand, for errors."""
-        result = self._apt("install", "--simulate", *names)
+        # The plan tells MD5 unless it is told otherwise.
+        options = [f"-oDir::Cache::archives={self._no_archives}", "-oAcquire::ForceHash=SHA256"]
+        result = self._apt("install", "--print-uris", *options, *names)
         if result.returncode == 0:
-            return frozenset(_planned_installs(result.stdout))
+            return frozenset(_planned_downloads(result.stdout))
         unknown = re.search(r"(?:Unable to locate package|Package) '?([^\s']+)'?", result.stderr)
         if unknown:
             raise CheckError(
@@ -94,18 +100,27 @@
         raise CheckError(f"{source}: the packages can't be installed together: {_first_complaint(result)}")
 
     def download(self, names: Iterable[str], packages: Iterable[Package]) -> dict[Package, Path]:
-        """Downloads what `resolve` told for `names`, and returns each package's archive. Kept ones are used."""
+        """Downloads what `resolve` told for `names`, and returns each package's archive.
+
+        An archive of an earlier run is used if it is whole.
+        """
+        archives = {package: self._archives / package.archive_name for package in packages}
         with self._locked():
-            result = self._apt("install", "--download-only", *names)
+            for package, archive in archives.items():
+                # apt itself goes by the size of a file that is there.
+                if not _is_whole(package, archive):
+                    archive.unlink(missing_ok=True)
+            result = self._apt(
+                "install", "--download-only", f"-oDir::Cache::archives={self._archives}", *names
+            )
         if result.returncode != 0:
             raise CheckError(
                 f"the package registry can't be reached: {_first_complaint(result)}; expected the packages' files"
             )
-        archives = {package: self._archives / package.archive_name for package in packages}
         for package, archive in archives.items():
-            if not archive.is_file():
+            if not _is_whole(package, archive):
                 raise CheckError(
-                    f"the package registry gave no {package.name} {package.version}; expected {archive.name}"
+                    f"the package registry gave no whole {package.name} {package.version}; expected {archive.name}"
                 )
         return archives
 
@@ -137,16 +152,23 @@
             yield
 
 
-def _planned_installs(simulation: str) -> Iterator[Package]:
-    """Reads apt's plan. A line: Inst NAME (VERSION ORIGIN [ARCHITECTURE]) ..."""
-    for line in simulation.splitlines():
-        planned = re.match(r"Inst (\S+) \((\S+) [^\[]*\[(\w+)\]\)", line)
-        if planned:
-            yield Package(planned[1], planned[2], planned[3])
-        elif line.startswith("Inst "):
-            raise CheckError(
-                f"apt-get: its plan has a line of an unknown form; expected 'Inst NAME (VERSION ...)': {line}"
-            )
+def _planned_downloads(plan: str) -> Iterator[Package]:
+    """Reads apt's plan. A line: 'URI' NAME_VERSION_ARCHITECTURE.deb SIZE SHA256:DIGEST"""
+    for line in plan.splitlines():
+        if not line.startswith("'"):
+            continue
+        planned = re.match(r"'\S+' ([^_ ]+)_([^_ ]+)_(\w+)\.deb \d+ SHA256:([0-9a-f]{64})$", line)
+        if not planned:
+            raise CheckError(f"apt-get: a line of another form than 'URI' FILE SIZE SHA256:DIGEST: {line}")
+        yield Package(planned[1], planned[2].replace("%3a", ":"), planned[3], planned[4])
+
+
+def _is_whole(package: Package, archive: Path) -> bool:
+    """Whether the package's archive is there, with the content that the registry's list tells."""
+    if not archive.is_file():
+        return False
+    with open(archive, "rb") as file:
+        return hashlib.file_digest(file, "sha256").hexdigest() == package.sha256
 
 
 def _first_complaint(result: subprocess.CompletedProcess) -> str:
