Test that the check of the deploy build fails at each package and each fault

Seen: samples written from memory showed that a lack told by pkg-config was not understood ("A required package was not found", with the module's name some lines before); the check failed there, but named no package. Streams were also joined one behind the other, so that lines lost their order. Both are mended: a build's streams are taken as one, and the patterns are those that the tools print here, for required finds alone.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -12,7 +12,15 @@
   COMMAND Python3::Interpreter -B -m unittest -v tests.deploy.package_lists_test tests.deploy.setup_test
           tests.deploy.diagnosis_test tests.deploy.registry_test
   WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+# Fetches the registry's lists; the limit leaves room for a slow one.
 set_tests_properties(deploy_lists PROPERTIES TIMEOUT 600)
+add_test(
+  NAME deploy_check
+  COMMAND Python3::Interpreter -B -m unittest -v tests.deploy.check_test tests.deploy.project_test
+  WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+# Some thirty builds, most of which fail early: three minutes and a half without load.
+set_tests_properties(deploy_check PROPERTIES TIMEOUT 2400)
+
 # The commit, built with the deploy file's packages alone; needs the package registry.
 add_test(NAME deploy_build COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-deploy-build)
 # Two builds, of which the deploy page gives each twenty minutes; without load both take three together.
--- a/scripts/deploy_build/check.py
+++ b/scripts/deploy_build/check.py
@@ -23,21 +23,28 @@
 
 
 class DeployBuildCheck:
-    """Checks deploy files against one export of the sources, in `workspace`, a folder that the caller removes.
+    """Checks deploy files against one commit of the sources.
 
-    The packages unpacked for one deploy file serve the next.
+    `store` keeps unpacked packages and may serve several checks. `workspace` is a folder on the same file system,
+    which every user may enter; the caller removes both.
     """
 
-    def __init__(self, repository: Path, commit: str, registry: Registry, setup: SetupLists, workspace: Path):
+    def __init__(
+        self,
+        repository: Path,
+        commit: str,
+        registry: Registry,
+        setup: SetupLists,
+        store: PackageStore,
+        workspace: Path,
+    ):
         self._repository = repository
         self._commit = commit
         self._registry = registry
         self._setup = setup
         self._workspace = workspace
-        self._store = PackageStore(workspace / "packages")
+        self._store = store
         self._checked = 0
-        # The users of the commands have to reach their folders.
-        workspace.chmod(0o755)
 
     def deploy_file(self) -> DeployFile:
         """Reads the commit's own deploy file."""
@@ -89,7 +96,7 @@
 
     def _build(self, deploy: DeployFile, source: Path, machine: Machine, what: str) -> None:
         started = time.monotonic()
-        outcome = machine.run(deploy.build, source, _BUILD_SECONDS)
+        outcome = machine.run(deploy.build, source, _BUILD_SECONDS, together=True)
         if outcome.status is None:
             raise CheckError(f"{deploy.name}: build: no end in {_BUILD_SECONDS} s; expected one by then")
         if outcome.status != 0:
--- a/scripts/deploy_build/diagnosis.py
+++ b/scripts/deploy_build/diagnosis.py
@@ -45,13 +45,17 @@
     return SoughtFile(name, (f"/usr/bin/{name}", f"/bin/{name}", f"/usr/sbin/{name}"))
 
 
-# What compilers, linkers, CMake and shells print when they lack a file.
+# What compilers, linkers, CMake and shells print when they lack a file that they can't do without.
 _COMPLAINTS: tuple[tuple[str, Callable[[str], SoughtFile]], ...] = (
     (r"fatal error: (\S+): No such file or directory", _header),
-    (r"Could NOT find PkgConfig \(missing: PKG_CONFIG_EXECUTABLE\)", lambda _: _program("pkg-config")),
-    (r"required packages were not found:\s+- (\S+)", _pkg_config_module),
-    (r"configuration file provided by\s+\"([^\"]+)\"", _cmake_package),
-    (r"Could NOT find (\w+)", _cmake_package),
+    (r"CMake Error.*\n\s+Could NOT find PkgConfig", lambda _: _program("pkg-config")),
+    (
+        r"Package '(.+)', required by .*\n(?:--   Package .*\n)*"
+        r"CMake Error.*\n\s+A required package was not found",
+        _pkg_config_module,
+    ),
+    (r"CMake Error.*\(find_package\):\s+By not providing \"Find(.+)\.cmake\"", _cmake_package),
+    (r"CMake Error.*\n\s+Could NOT find (?!PkgConfig)(\w+)", _cmake_package),
     (r"Could not find \w+ using the following names:\s+([^\n]+)", _library),
     (r"cannot find -l(\S+?):? ", _library),
     (r"sh: \d+: (\S+): not found", _program),
--- a/scripts/deploy_build/machine.py
+++ b/scripts/deploy_build/machine.py
@@ -23,7 +23,10 @@
 
 @dataclass(frozen=True)
 class Outcome:
-    """How a command ended. `status` is None where it was ended at its time limit."""
+    """How a command ended. `status` is None where it was ended at its time limit.
+
+    `stdout` holds both streams, and `stderr` nothing, where they were asked for together.
+    """
 
     status: int | None
     stdout: bytes
@@ -73,8 +76,13 @@
             if library.name not in own and not link.is_symlink():
                 link.symlink_to(library)
 
-    def run(self, command: str, folder: Path, seconds: float, stdin: bytes = b"") -> Outcome:
-        """Runs a shell command in `folder` for at most `seconds`, after which it and its children are killed."""
+    def run(
+        self, command: str, folder: Path, seconds: float, stdin: bytes = b"", together: bool = False
+    ) -> Outcome:
+        """Runs a shell command in `folder` for at most `seconds`, after which it and its children are killed.
+
+        `together`: takes both streams of its output as one.
+        """
         as_user = self._as_user()
         with subprocess.Popen(
             ["/bin/sh", "-c", command],
@@ -82,17 +90,17 @@
             env=self._environment(),
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
+            stderr=subprocess.STDOUT if together else subprocess.PIPE,
             start_new_session=True,
             **as_user,
         ) as process:
             try:
                 stdout, stderr = process.communicate(stdin, timeout=seconds)
-                return Outcome(process.returncode, stdout, stderr)
+                return Outcome(process.returncode, stdout, stderr or b"")
             except subprocess.TimeoutExpired:
                 os.killpg(process.pid, 9)
                 stdout, stderr = process.communicate()
-                return Outcome(None, stdout, stderr)
+                return Outcome(None, stdout, stderr or b"")
 
     def shared_libraries(self, program: Path) -> dict[str, Path | None]:
         """Returns where each shared library of `program` is found, or None where it isn't."""
--- a/scripts/deploy_build/registry.py
+++ b/scripts/deploy_build/registry.py
@@ -61,13 +61,17 @@
         self._no_archives = cache / "no-archives"
         (self._no_archives / "partial").mkdir(parents=True, exist_ok=True)
         empty_status = cache / "empty-status"
-        empty_status.write_text("")
+        empty_status.touch()
+        self._resolved: dict[tuple[str, ...], frozenset[Package]] = {}
         self._options = [
             f"-oDir::State={cache}",
             f"-oDir::State::lists={cache / 'lists'}",
             f"-oDir::State::status={empty_status}",
             f"-oDir::State::extended_states={cache / 'extended-states'}",
             f"-oDir::Cache={cache}",
+            # Images of machines often turn these indices off; each call would make them anew.
+            "-oDir::Cache::pkgcache=pkgcache.bin",
+            "-oDir::Cache::srcpkgcache=srcpkgcache.bin",
             # Checks that share the cache wait for one another in _locked; apt would fail at once instead.
             "-oDebug::NoLocking=1",
             # The build must not come to rest on what is only recommended.
@@ -78,6 +82,7 @@
 
     def refresh(self) -> None:
         """Fetches the lists of packages anew. Raises CheckError where the registry can't be reached."""
+        self._resolved.clear()
         with self._locked():
             result = self._apt("update", "--error-on=any")
         if result.returncode != 0:
@@ -87,6 +92,12 @@
 
     def resolve(self, names: Iterable[str], source: str) -> frozenset[Package]:
         """Returns the named packages and all that they depend on. `source`: where the names stand, for errors."""
+        wanted = tuple(names)
+        if wanted not in self._resolved:
+            self._resolved[wanted] = self._resolve(wanted, source)
+        return self._resolved[wanted]
+
+    def _resolve(self, names: tuple[str, ...], source: str) -> frozenset[Package]:
         # The plan tells MD5 unless it is told otherwise.
         options = [f"-oDir::Cache::archives={self._no_archives}", "-oAcquire::ForceHash=SHA256"]
         result = self._apt("install", "--print-uris", *options, *names)
@@ -106,10 +117,12 @@
         """
         archives = {package: self._archives / package.archive_name for package in packages}
         with self._locked():
-            for package, archive in archives.items():
-                # apt itself goes by the size of a file that is there.
-                if not _is_whole(package, archive):
-                    archive.unlink(missing_ok=True)
+            faulty = [archive for package, archive in archives.items() if not _is_whole(package, archive)]
+            if not faulty:
+                return archives
+            for archive in faulty:
+                # apt itself would go by the size of a file that is there.
+                archive.unlink(missing_ok=True)
             result = self._apt(
                 "install", "--download-only", f"-oDir::Cache::archives={self._archives}", *names
             )
--- a/tests/deploy/diagnosis_test.py
+++ b/tests/deploy/diagnosis_test.py
@@ -13,11 +13,22 @@
 compilation terminated.
 """
 MODULE = """\
+-- Checking for modules 'libuv;libxxhash'
+--   Package 'libuv', required by 'virtual:world', not found
+--   Package 'libxxhash', required by 'virtual:world', not found
 CMake Error at /r/usr/share/cmake-3.25/Modules/FindPkgConfig.cmake:607 (message):
-  The following required packages were not found:
-
-   - libuv
-
+  A required package was not found
+Call Stack (most recent call first):
+"""
+# Configuring goes on without these.
+OPTIONAL = """\
+-- Checking for module 'libnbd'
+--   Package 'libnbd', required by 'virtual:world', not found
+-- Could NOT find benchmark (missing: benchmark_DIR)
+CMake Warning at CMakeLists.txt:3 (find_package):
+  By not providing "Finddoctest.cmake" in CMAKE_MODULE_PATH this project has
+  asked CMake to find a package configuration file provided by "doctest", but
+  CMake did not find one.
 """
 CMAKE_PACKAGE = """\
 CMake Error at cmake/program.cmake:8 (find_package):
@@ -54,6 +65,13 @@
         self.assert_sought(MODULE + HEADER, "libuv.pc")
         self.assert_sought(HEADER + MODULE, "isa-l/crc.h")
 
+    def test_what_configuring_can_do_without_is_passed_over(self):
+        # Guards against a wrong name: the build fails at something else.
+        self.assert_sought(OPTIONAL, None)
+        self.assert_sought(OPTIONAL + MODULE, "libuv.pc")
+        self.assert_sought(OPTIONAL + CMAKE_PACKAGE, "spdlogConfig.cmake")
+        self.assert_sought(OPTIONAL + PKG_CONFIG, "pkg-config")
+
     def test_other_errors_name_no_file(self):
         output = "compiling\n/s/a.cpp:3:1: error: expected ';'\nmake: *** [a] Error 1\n"
         self.assert_sought(output, None)
--- a/tests/deploy/helpers.py
+++ b/tests/deploy/helpers.py
@@ -34,6 +34,8 @@
         folder = tempfile.TemporaryDirectory(prefix="knotvane-test-")
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
+        # Builds run as another user.
+        self.folder.chmod(0o755)
 
     def assert_refused(self, call: Callable[[], object], *parts: str) -> None:
         """Asserts that `call` raises a CheckError of one line that has all the parts."""
