Give the build files one statement a line; one function for the fixed fuzz tests

The leftovers of the build files that the check reads: tests.cmake asked three times whether the program is built, repeated the fixed fuzz targets' three lines three times, and had a library that nothing links (rapidcheck_lib). program.cmake linked packages before they stood there.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -16,7 +16,14 @@
 target_link_libraries(knotvane_frames PUBLIC knotvane_policy PkgConfig::isal)
 add_library(knotvane_facts src/facts/table.cpp src/facts/messages.cpp)
 target_link_libraries(knotvane_facts PUBLIC knotvane_frames)
-add_library(knotvane_planner src/planner/parts.cpp src/planner/members.cpp src/planner/state.cpp src/planner/core.cpp src/planner/core_cuts.cpp src/planner/cuts.cpp)
+add_library(
+  knotvane_planner
+  src/planner/parts.cpp
+  src/planner/members.cpp
+  src/planner/state.cpp
+  src/planner/core.cpp
+  src/planner/core_cuts.cpp
+  src/planner/cuts.cpp)
 target_link_libraries(knotvane_planner PUBLIC knotvane_facts PRIVATE nlohmann_json::nlohmann_json)
 add_library(knotvane_store src/store/medium.cpp src/store/store.cpp)
 target_link_libraries(knotvane_store PUBLIC knotvane_frames)
@@ -36,8 +43,9 @@
 add_library(knotvane_sim_planning src/sim/planning.cpp)
 target_link_libraries(knotvane_sim_planning PUBLIC knotvane_planner knotvane_edge knotvane_node)
 add_library(knotvane_sim_cutting src/sim/cutting.cpp)
-target_link_libraries(knotvane_sim_cutting PUBLIC knotvane_planner knotvane_edge knotvane_node knotvane_load
-                      knotvane_rules)
+target_link_libraries(
+  knotvane_sim_cutting
+  PUBLIC knotvane_planner knotvane_edge knotvane_node knotvane_load knotvane_rules)
 add_library(knotvane_log src/log/log.cpp)
 target_include_directories(knotvane_log PUBLIC src)
 target_link_libraries(knotvane_log PRIVATE spdlog::spdlog nlohmann_json::nlohmann_json)
@@ -47,12 +55,20 @@
 add_library(knotvane_edge_settings src/edge/settings.cpp src/edge/nodelist.cpp src/edge/planfile.cpp)
 target_link_libraries(knotvane_edge_settings PUBLIC knotvane_edge knotvane_settings PRIVATE PkgConfig::xxhash)
 add_library(knotvane_servers src/edge/server.cpp src/node/server.cpp)
-target_link_libraries(knotvane_servers PUBLIC knotvane_edge_settings knotvane_node knotvane_loop PRIVATE knotvane_log)
+target_link_libraries(
+  knotvane_servers
+  PUBLIC knotvane_edge_settings knotvane_node knotvane_loop
+  PRIVATE knotvane_log)
 add_library(knotvane_planner_store src/planner/store.cpp)
-target_link_libraries(knotvane_planner_store PUBLIC knotvane_planner PRIVATE PkgConfig::sqlite PkgConfig::xxhash)
+target_link_libraries(
+  knotvane_planner_store
+  PUBLIC knotvane_planner
+  PRIVATE PkgConfig::sqlite PkgConfig::xxhash)
 add_library(knotvane_planner_server src/planner/files.cpp src/planner/server.cpp src/planner/visitor.cpp)
-target_link_libraries(knotvane_planner_server PUBLIC knotvane_planner_store knotvane_settings knotvane_loop
-                      PRIVATE knotvane_log)
+target_link_libraries(
+  knotvane_planner_server
+  PUBLIC knotvane_planner_store knotvane_settings knotvane_loop
+  PRIVATE knotvane_log)
 add_library(knotvane_fleet src/fleet/fleet.cpp)
 target_link_libraries(knotvane_fleet PUBLIC knotvane_servers knotvane_planner_server)
 add_library(knotvane_driver src/load/driver.cpp)
@@ -60,24 +76,54 @@
 add_library(knotvane_record src/record/recording.cpp)
 target_link_libraries(knotvane_record PUBLIC knotvane_frames)
 add_library(knotvane_figures src/rules/figures.cpp)
-target_link_libraries(knotvane_figures PUBLIC knotvane_rules knotvane_record knotvane_settings
-                      PRIVATE PkgConfig::xxhash nlohmann_json::nlohmann_json)
+target_link_libraries(
+  knotvane_figures
+  PUBLIC knotvane_rules knotvane_record knotvane_settings
+  PRIVATE PkgConfig::xxhash nlohmann_json::nlohmann_json)
 add_library(knotvane_day src/day/day.cpp src/day/outage.cpp src/day/passthrough.cpp src/relay/relay.cpp)
-target_link_libraries(knotvane_day PUBLIC knotvane_fleet knotvane_driver knotvane_figures PRIVATE knotvane_log)
-add_executable(knotvane src/cli/main.cpp src/cli/local.cpp src/cli/load.cpp src/cli/days.cpp src/cli/planner.cpp src/cli/snapshots.cpp src/cli/store.cpp src/cli/trace.cpp)
-target_link_libraries(knotvane PRIVATE knotvane_platform knotvane_day knotvane_log CLI11::CLI11 nlohmann_json::nlohmann_json)
+target_link_libraries(
+  knotvane_day
+  PUBLIC knotvane_fleet knotvane_driver knotvane_figures
+  PRIVATE knotvane_log)
 # The parser has no module of its own to be found by; its archive where there is one.
 find_library(http_parser_lib NAMES libhttp_parser.a http_parser REQUIRED)
 add_library(knotvane_http src/http/decoder.cpp)
 target_include_directories(knotvane_http PUBLIC src)
 target_link_libraries(knotvane_http PRIVATE ${http_parser_lib})
-add_library(knotvane_platform src/platform/clients.cpp src/platform/config.cpp src/platform/core.cpp
-            src/platform/discovery.cpp src/platform/pools.cpp src/platform/trace.cpp)
-target_link_libraries(knotvane_platform PUBLIC knotvane_setup knotvane_http PRIVATE nlohmann_json::nlohmann_json)
+add_library(
+  knotvane_platform
+  src/platform/clients.cpp
+  src/platform/config.cpp
+  src/platform/core.cpp
+  src/platform/discovery.cpp
+  src/platform/pools.cpp
+  src/platform/trace.cpp)
+target_link_libraries(
+  knotvane_platform
+  PUBLIC knotvane_setup knotvane_http
+  PRIVATE nlohmann_json::nlohmann_json)
 add_library(knotvane_platform_server src/platform/server.cpp)
-target_link_libraries(knotvane_platform_server PUBLIC knotvane_platform knotvane_loop knotvane_settings PRIVATE knotvane_log)
+target_link_libraries(
+  knotvane_platform_server
+  PUBLIC knotvane_platform knotvane_loop knotvane_settings
+  PRIVATE knotvane_log)
+add_executable(
+  knotvane
+  src/cli/main.cpp
+  src/cli/local.cpp
+  src/cli/load.cpp
+  src/cli/days.cpp
+  src/cli/planner.cpp
+  src/cli/snapshots.cpp
+  src/cli/store.cpp
+  src/cli/trace.cpp)
+target_link_libraries(
+  knotvane
+  PRIVATE knotvane_platform knotvane_day knotvane_log CLI11::CLI11 nlohmann_json::nlohmann_json)
 add_executable(knotvane-edge src/cli/edge_main.cpp src/cli/platform.cpp)
-target_link_libraries(knotvane-edge PRIVATE knotvane_servers knotvane_platform_server knotvane_log CLI11::CLI11)
+target_link_libraries(
+  knotvane-edge
+  PRIVATE knotvane_servers knotvane_platform_server knotvane_log CLI11::CLI11)
 add_executable(knotvane-planner src/cli/planner_main.cpp)
 target_link_libraries(knotvane-planner PRIVATE knotvane_planner_server knotvane_log CLI11::CLI11)
 # It starts a planner beside itself.
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -1,5 +1,11 @@
 find_package(doctest REQUIRED)
-add_executable(knotvane_tests tests/main.cpp tests/policy_test.cpp tests/wire_test.cpp src/drill/host.cpp src/wire/setup.cpp)
+add_executable(
+  knotvane_tests
+  tests/main.cpp
+  tests/policy_test.cpp
+  tests/wire_test.cpp
+  src/drill/host.cpp
+  src/wire/setup.cpp)
 target_include_directories(knotvane_tests PRIVATE src)
 target_link_libraries(knotvane_tests PRIVATE doctest::doctest)
 add_test(NAME decisions COMMAND knotvane_tests)
@@ -26,48 +32,103 @@
 # Two builds, of which the deploy page gives each twenty minutes; without load both take three together.
 set_tests_properties(deploy_build PROPERTIES TIMEOUT 2400)
 
-if(KNOTVANE_PROGRAM)
-  add_library(rapidcheck_lib INTERFACE)
-  target_link_libraries(rapidcheck_lib INTERFACE rapidcheck)
-  # A package's tests: one binary, named after it.
-  function(package_tests name)
-    cmake_parse_arguments(p "" "" "SOURCES;LIBS" ${ARGN})
-    add_executable(${name}_tests tests/main.cpp ${p_SOURCES})
-    target_link_libraries(${name}_tests PRIVATE ${p_LIBS} doctest::doctest rapidcheck)
-    add_test(NAME ${name} COMMAND ${name}_tests)
-    # One seed for the property tests: the same verdict every time.
-    set_tests_properties(${name} PROPERTIES TIMEOUT 240 ENVIRONMENT "RC_PARAMS=seed=20261201")
-  endfunction()
-
-  package_tests(nbd SOURCES tests/nbd/server_test.cpp LIBS knotvane_nbd)
-  package_tests(http SOURCES tests/http/decoder_test.cpp LIBS knotvane_http)
-  package_tests(platform SOURCES tests/platform/core_test.cpp tests/platform/crossings_test.cpp tests/platform/discovery_test.cpp
-                tests/platform/loopback_test.cpp tests/platform/server_test.cpp LIBS knotvane_platform_server)
-  package_tests(store SOURCES tests/store/store_test.cpp LIBS knotvane_store)
-  package_tests(node SOURCES tests/node/node_test.cpp tests/node/cuts_test.cpp LIBS knotvane_node)
-  package_tests(sim SOURCES tests/sim/sim_test.cpp LIBS knotvane_sim)
-  package_tests(planning SOURCES tests/sim/planning_test.cpp LIBS knotvane_sim_planning)
-  package_tests(cutting SOURCES tests/sim/cutting_test.cpp LIBS knotvane_sim_cutting)
-  package_tests(planner SOURCES tests/planner/planner_test.cpp tests/planner/store_test.cpp tests/planner/cuts_test.cpp
-                LIBS knotvane_planner_server PkgConfig::sqlite)
-  add_executable(nbd_fuzz_fixed tests/fuzz/nbd_fuzz.cpp tests/fuzz/run_fixed.cpp)
-  target_link_libraries(nbd_fuzz_fixed PRIVATE knotvane_nbd)
-  add_test(NAME nbd_fuzz_fixed COMMAND nbd_fuzz_fixed)
-  add_executable(plan_fuzz_fixed tests/fuzz/plan_fuzz.cpp tests/fuzz/run_plan_fixed.cpp)
-  target_link_libraries(plan_fuzz_fixed PRIVATE knotvane_planner knotvane_edge)
-  add_test(NAME plan_fuzz_fixed COMMAND plan_fuzz_fixed)
-  add_executable(http_fuzz_fixed tests/fuzz/http_fuzz.cpp tests/fuzz/run_http_fixed.cpp)
-  target_link_libraries(http_fuzz_fixed PRIVATE knotvane_platform)
-  add_test(NAME http_fuzz_fixed COMMAND http_fuzz_fixed)
-endif()
-if(KNOTVANE_PROGRAM)
-  pkg_check_modules(nbd REQUIRED IMPORTED_TARGET libnbd)
-  package_tests(gateway SOURCES tests/gateway/libnbd_test.cpp tests/gateway/day_test.cpp tests/gateway/door_test.cpp
-                tests/gateway/planner_test.cpp tests/gateway/snapshot_test.cpp
-                LIBS knotvane_day PkgConfig::nbd nlohmann_json::nlohmann_json)
-  add_dependencies(gateway_tests knotvane-planner)
-endif()
-if(KNOTVANE_PROGRAM)
-  package_tests(edge SOURCES tests/edge/edge_test.cpp tests/edge/subscription_test.cpp tests/edge/cuts_test.cpp tests/edge/core_cuts_test.cpp LIBS knotvane_edge_settings knotvane_load)
-  package_tests(rules SOURCES tests/rules/rules_test.cpp tests/rules/history_test.cpp LIBS knotvane_figures knotvane_load)
+if(NOT KNOTVANE_PROGRAM)
+  return()
 endif()
+pkg_check_modules(nbd REQUIRED IMPORTED_TARGET libnbd)
+
+# A package's tests: one binary, named after it.
+function(package_tests name)
+  cmake_parse_arguments(package "" "" "SOURCES;LIBS" ${ARGN})
+  add_executable(${name}_tests tests/main.cpp ${package_SOURCES})
+  target_link_libraries(${name}_tests PRIVATE ${package_LIBS} doctest::doctest rapidcheck)
+  add_test(NAME ${name} COMMAND ${name}_tests)
+  # One seed for the property tests: the same verdict every time.
+  set_tests_properties(${name} PROPERTIES TIMEOUT 240 ENVIRONMENT "RC_PARAMS=seed=20261201")
+endfunction()
+
+# A fuzz target run on a fixed set of inputs.
+function(fixed_fuzz name)
+  cmake_parse_arguments(fuzz "" "" "SOURCES;LIBS" ${ARGN})
+  add_executable(${name}_fuzz_fixed ${fuzz_SOURCES})
+  target_link_libraries(${name}_fuzz_fixed PRIVATE ${fuzz_LIBS})
+  add_test(NAME ${name}_fuzz_fixed COMMAND ${name}_fuzz_fixed)
+endfunction()
+
+package_tests(
+  nbd
+  SOURCES tests/nbd/server_test.cpp
+  LIBS knotvane_nbd)
+package_tests(
+  http
+  SOURCES tests/http/decoder_test.cpp
+  LIBS knotvane_http)
+package_tests(
+  platform
+  SOURCES
+    tests/platform/core_test.cpp
+    tests/platform/crossings_test.cpp
+    tests/platform/discovery_test.cpp
+    tests/platform/loopback_test.cpp
+    tests/platform/server_test.cpp
+  LIBS knotvane_platform_server)
+package_tests(
+  store
+  SOURCES tests/store/store_test.cpp
+  LIBS knotvane_store)
+package_tests(
+  node
+  SOURCES tests/node/node_test.cpp tests/node/cuts_test.cpp
+  LIBS knotvane_node)
+package_tests(
+  sim
+  SOURCES tests/sim/sim_test.cpp
+  LIBS knotvane_sim)
+package_tests(
+  planning
+  SOURCES tests/sim/planning_test.cpp
+  LIBS knotvane_sim_planning)
+package_tests(
+  cutting
+  SOURCES tests/sim/cutting_test.cpp
+  LIBS knotvane_sim_cutting)
+package_tests(
+  planner
+  SOURCES tests/planner/planner_test.cpp tests/planner/store_test.cpp tests/planner/cuts_test.cpp
+  LIBS knotvane_planner_server PkgConfig::sqlite)
+package_tests(
+  gateway
+  SOURCES
+    tests/gateway/libnbd_test.cpp
+    tests/gateway/day_test.cpp
+    tests/gateway/door_test.cpp
+    tests/gateway/planner_test.cpp
+    tests/gateway/snapshot_test.cpp
+  LIBS knotvane_day PkgConfig::nbd nlohmann_json::nlohmann_json)
+# They start the planner's program.
+add_dependencies(gateway_tests knotvane-planner)
+package_tests(
+  edge
+  SOURCES
+    tests/edge/edge_test.cpp
+    tests/edge/subscription_test.cpp
+    tests/edge/cuts_test.cpp
+    tests/edge/core_cuts_test.cpp
+  LIBS knotvane_edge_settings knotvane_load)
+package_tests(
+  rules
+  SOURCES tests/rules/rules_test.cpp tests/rules/history_test.cpp
+  LIBS knotvane_figures knotvane_load)
+
+fixed_fuzz(
+  nbd
+  SOURCES tests/fuzz/nbd_fuzz.cpp tests/fuzz/run_fixed.cpp
+  LIBS knotvane_nbd)
+fixed_fuzz(
+  plan
+  SOURCES tests/fuzz/plan_fuzz.cpp tests/fuzz/run_plan_fixed.cpp
+  LIBS knotvane_planner knotvane_edge)
+fixed_fuzz(
+  http
+  SOURCES tests/fuzz/http_fuzz.cpp tests/fuzz/run_http_fixed.cpp
+  LIBS knotvane_platform)
