--- a/scripts/deploy_build/registry.py
+++ b/scripts/deploy_build/registry.py
@@ -55,13 +55,17 @@
     def __init__(self, cache: Path, apt_options: Iterable[str] = ()):
         self._cache = cache
         self._archives = cache / "archives"
-        (cache / "lists" / "partial").mkdir(parents=True, exist_ok=True)
-        (self._archives / "partial").mkdir(parents=True, exist_ok=True)
         # apt names the files of those packages alone that aren't in the folder of archives.
         self._no_archives = cache / "no-archives"
-        (self._no_archives / "partial").mkdir(parents=True, exist_ok=True)
         empty_status = cache / "empty-status"
-        empty_status.touch()
+        try:
+            for folder in (cache / "lists", self._archives, self._no_archives):
+                (folder / "partial").mkdir(parents=True, exist_ok=True)
+            empty_status.touch()
+        except OSError as error:
+            raise CheckError(
+                f"{cache}: can't be written to ({error.strerror}); expected a folder for downloads"
+            ) from error
         self._resolved: dict[tuple[str, ...], frozenset[Package]] = {}
         self._options = [
             f"-oDir::State={cache}",
--- a/tests/deploy/check_test.py
+++ b/tests/deploy/check_test.py
@@ -1,33 +1,18 @@
 """The check of the deploy build on a small project, whole and with one fault each."""
 
-import tempfile
-from pathlib import Path
-
-from tests.deploy.helpers import FolderTest, deploy_text
-from tests.deploy.sample_project import CMAKE_LISTS, MAIN, SampleProject
+from tests.deploy.helpers import CMAKE_LISTS, MAIN, BuildTest, SampleProject, deploy_text
 
 from deploy_build.check import DeployBuildCheck
 from deploy_build.package_lists import DEPLOY_FILE, SetupLists
-from deploy_build.registry import Registry, default_cache
-from deploy_build.sysroot import PackageStore
 
 SETUP = SetupLists(tool_chain=("g++", "cmake", "make"), further=("libinih-dev",))
 
 
-class SampleTest(FolderTest):
+class SampleTest(BuildTest):
     def setUp(self):
         super().setUp()
         self.project = SampleProject(self.folder / "project")
 
-    @classmethod
-    def setUpClass(cls):
-        cls.registry = Registry(default_cache())
-        cls.registry.refresh()
-        packages = tempfile.TemporaryDirectory(prefix="knotvane-test-packages-")
-        cls.addClassCleanup(packages.cleanup)
-        Path(packages.name).chmod(0o755)
-        cls.store = PackageStore(Path(packages.name) / "packages")
-
     def check_commit(self) -> None:
         workspace = self.folder / "workspace"
         workspace.mkdir()
--- a/tests/deploy/project_test.py
+++ b/tests/deploy/project_test.py
@@ -1,15 +1,11 @@
 """The check of the deploy build on the project itself, with lists that lack a package or name an unknown one."""
 
 import dataclasses
-import tempfile
-from pathlib import Path
 
-from tests.deploy.helpers import REPOSITORY, FolderTest
+from tests.deploy.helpers import REPOSITORY, BuildTest
 
 from deploy_build.check import DeployBuildCheck
 from deploy_build.package_lists import SETUP_FILE, read_setup_lists
-from deploy_build.registry import Registry, default_cache
-from deploy_build.sysroot import PackageStore
 
 # The list as it stood when a new machine could not build: no msgpack.
 LIST_BEFORE_THE_MEND = (
@@ -27,16 +23,7 @@
 )
 
 
-class ProjectTest(FolderTest):
-    @classmethod
-    def setUpClass(cls):
-        cls.registry = Registry(default_cache())
-        cls.registry.refresh()
-        packages = tempfile.TemporaryDirectory(prefix="knotvane-test-packages-")
-        cls.addClassCleanup(packages.cleanup)
-        Path(packages.name).chmod(0o755)
-        cls.store = PackageStore(Path(packages.name) / "packages")
-
+class ProjectTest(BuildTest):
     def setUp(self):
         super().setUp()
         setup = read_setup_lists(REPOSITORY / SETUP_FILE)
--- a/tests/deploy/registry_test.py
+++ b/tests/deploy/registry_test.py
@@ -17,6 +17,11 @@
         registry = Registry(self.folder / "cache", options)
         self.assert_refused(registry.refresh, "the package registry can't be reached", "127.0.0.1")
 
+    def test_a_cache_that_cannot_be_written_is_named(self):
+        place = self.folder / "file"
+        place.touch()
+        self.assert_refused(lambda: Registry(place), f"{place}: can't be written to", "expected a folder")
+
     def test_dependencies_are_told_whatever_is_installed(self):
         registry = Registry(default_cache())
         registry.refresh()
