Name a shared library that the loader doesn't find; test the libraries and the one line

The tests added found a fault: at a library that is nowhere the loader prints an error instead of its list, and the check told "can't be listed" without the library's name.

Each of the three tests fails without its guard, and passes now.

--- a/scripts/deploy_build/machine.py
+++ b/scripts/deploy_build/machine.py
@@ -6,6 +6,7 @@
 
 import os
 import pwd
+import re
 import shlex
 import subprocess
 from dataclasses import dataclass
@@ -117,11 +118,15 @@
             program.parent,
             20,
         )
+        # The loader stops at the first library that it doesn't find.
+        lacking = re.search(r"error while loading shared libraries: (.+?): cannot open", listing.output)
+        if lacking:
+            return {lacking[1]: None}
         found: dict[str, Path | None] = {}
         for line in listing.output.splitlines():
             name, arrow, place = line.strip().partition(" => ")
             if arrow:
-                found[name] = None if place.startswith("not found") else Path(place.split(" (")[0])
+                found[name] = Path(place.split(" (")[0])
         if not found:
             raise CheckError(
                 f"{program}: its shared libraries can't be listed: {listing.output.strip()}; expected a program"
--- a/tests/deploy/check_test.py
+++ b/tests/deploy/check_test.py
@@ -85,9 +85,27 @@
         self.assert_fails("run: without its environment", "status 0", "LB_CONFIG")
 
     def test_a_program_that_says_more_than_its_line_is_noticed(self):
-        self.project.write("main.cpp", MAIN.replace("set LB_CONFIG", "set\\nLB_CONFIG"))
+        self.project.write("main.cpp", MAIN.replace("set LB_CONFIG", "set LB_CONFIG\\nand more"))
         self.assert_fails("run: without its environment", "one line")
 
+    def write_with_own_library(self) -> None:
+        own = "add_library(own SHARED own.cpp)\ntarget_link_libraries(sample PRIVATE own)\n"
+        self.project.write("own.cpp", "int own() { return 1; }\n")
+        self.project.write(
+            "main.cpp", MAIN.replace("int main", "int own();\nint main").replace("> 5", "> 5 * own()")
+        )
+        self.project.write("CMakeLists.txt", CMAKE_LISTS + own)
+
+    def test_a_shared_library_from_outside_is_told(self):
+        # Guards against a program that starts here, where the library is, and not at the operators'.
+        self.write_with_own_library()
+        self.assert_fails("sample: its shared library libown.so comes from", "expected a listed package's")
+
+    def test_a_shared_library_that_is_nowhere_is_told(self):
+        self.write_with_own_library()
+        self.write_deploy_file(build='"cmake -B build && cmake --build build && rm build/libown.so"')
+        self.assert_fails("sample: its shared library libown.so is in none of the listed packages")
+
     def test_a_simulator_program_that_does_not_answer_is_noticed(self):
         self.project.write("main.cpp", MAIN.replace("batch < 2", "batch < 1"))
         self.assert_fails("sim: to two batches", "expected two frames")
