Review: case 2, a dead edge's write undoes one that its successor answered and flushed

Cause: the guard for late copies (key order with key_rest) lives in one process. A restarted edge begins changes at once, while a node may still work on those of the process before.

Nothing of the project is changed.

--- a/review/support/edge.py
+++ b/review/support/edge.py
@@ -12,7 +12,7 @@
 
 [layout]
 extent = 1MiB
-span = 64KiB
+span = 128KiB
 unit = 16KiB
 shards = 1
 
--- a/review/support/nbd.py
+++ b/review/support/nbd.py
@@ -1,4 +1,5 @@
 """An NBD client, from the public specification: fixed newstyle, simple replies, one request at a time."""
+import select
 import socket
 import struct
 
@@ -60,6 +61,9 @@
         assert magic == SIMPLE_REPLY_MAGIC and cookie == self.cookie
         return error, self._take(read_length) if read_length and error == 0 else b""
 
+    def has_received(self):
+        return bool(select.select([self.socket], [], [], 0)[0])
+
     def write(self, offset, data):
         self.send(WRITE, offset, len(data), data)
         return self.reply()[0]
