--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 import support.process as process  # noqa: E402
 
 CLIENTS = 4
-REQUESTS_EACH = 200
+REQUESTS_EACH = 500
 # One answer of so many is reset on the way.
 RESET_EVERY = 4
 
@@ -26,7 +26,7 @@
     connections after half of the answer."""
 
     def __init__(self, case):
-        self.case, self.lock, self.answers = case, threading.Lock(), 0
+        self.case, self.lock, self.answers, self.resets = case, threading.Lock(), 0, 0
         super().__init__()
 
     def serve(self, connection):
@@ -37,6 +37,7 @@
         with self.lock:
             self.answers += 1
             reset = process.TROUBLE and self.answers % RESET_EVERY == 0
+            self.resets += reset
         answer = whole_answer(trace_id)
         head = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"
         if not reset:
@@ -86,7 +87,8 @@
         client.join()
     answered = sum(client.answered for client in clients)
     cut = sum(len(client.cut) for client in clients)
-    case.note("answers with status 200 that are a part of what the disk server had: %d of %d" % (cut, answered))
+    case.note("%d answers, %d reset on the way; served with 200 and a part of the answer: %d" %
+              (answered, server.resets, cut))
     if answered < CLIENTS * REQUESTS_EACH:
         raise process.NotRun("a client's connection was ended")
     return process.BROKEN if cut else process.HELD
