Tests: the scripted peer and the sockets' test move to tests/loop

Both now mirror src/loop, in a binary of their own (loop_tests, run alone like the other tests with real sockets).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -110,6 +110,10 @@
   http
   SOURCES tests/http/decoder_test.cpp
   LIBS knotvane_http)
+package_tests(
+  loop
+  SOURCES tests/loop/socket_test.cpp
+  LIBS knotvane_loop)
 package_tests(
   http_gateway
   SOURCES
@@ -120,7 +124,6 @@
     tests/http_gateway/graceful_shutdown_test.cpp
     tests/http_gateway/json_stream_test.cpp
     tests/http_gateway/loopback_test.cpp
-    tests/http_gateway/server_test.cpp
     tests/http_gateway/trace_test.cpp
   LIBS knotvane_http_gateway_server)
 package_tests(
@@ -180,7 +183,7 @@
     tests/gateway/snapshot_test.cpp
   LIBS knotvane_day PkgConfig::nbd nlohmann_json::nlohmann_json)
 # Their sockets and clocks are real: beside other tests they would wait for a processor.
-set_tests_properties(gateway http_gateway PROPERTIES RUN_SERIAL ON)
+set_tests_properties(gateway http_gateway loop PROPERTIES RUN_SERIAL ON)
 # They start the planner's program.
 add_dependencies(gateway_tests knotvane-planner)
 package_tests(
