Ask the socket before a hang-up that libuv reports as an end counts as one

Cause: libuv reports UV_EOF also when it polls a hang-up after a read that did not fill the buffer, without reading again; a reset that waits in the socket stays unseen. loop::Socket took UV_EOF for an end in order, which completes an answer without a length (ConnectionPool::disconnected).

Change: on UV_EOF the socket is asked by recv with MSG_PEEK. 0 is an end in order, an error is a connection error. It works because the kernel keeps the error until it is asked, and answers 0 only after the peer's FIN. A reset behind a FIN still leaves the end in order.

Tests: the loop runs only after the peer has sent and reset, so both are found in one poll. The comment in the older loopback test that a reset drops received bytes was wrong and is replaced; its steps and checks are the same.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -1,6 +1,9 @@
 #include "loop/loop.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstring>
@@ -42,6 +45,21 @@
     bool reported = false; // to on_written
 };
 
+// Returns how the peer ended a connection for which libuv has reported UV_EOF. libuv also reports
+// it when it polls a hang-up after a read that did not fill the buffer, without reading again. If
+// the hang-up is a reset, the socket still holds the error.
+DisconnectReason reason_of_reported_end(const uv_tcp_t &tcp) {
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&tcp), &descriptor) != 0)
+        return DisconnectReason::connection_error;
+    char next_byte = 0;
+    ssize_t count = 0;
+    do {
+        count = ::recv(descriptor, &next_byte, sizeof next_byte, MSG_PEEK | MSG_DONTWAIT);
+    } while (count < 0 && errno == EINTR);
+    return count == 0 ? DisconnectReason::end_of_stream : DisconnectReason::connection_error;
+}
+
 } // namespace
 
 Time now() {
@@ -169,19 +187,19 @@
         uv_read_stop(stream);
         return;
     }
-    uv_read_start(stream, provide_read_buffer,
-                  [](uv_stream_t *source, ssize_t count, const uv_buf_t *buf) {
-                      auto self = static_cast<Handle *>(source->data)->owner;
-                      if (!self || self->closed_ || count == 0)
-                          return;
-                      if (count < 0)
-                          return self->handle_disconnect(count == UV_EOF
-                                                             ? DisconnectReason::end_of_stream
-                                                             : DisconnectReason::connection_error);
-                      // After close_when_sent no callback is called: the owner may no longer exist.
-                      if (self->on_received && !self->closing_when_sent_)
-                          self->on_received({buf->base, static_cast<std::size_t>(count)});
-                  });
+    uv_read_start(
+        stream, provide_read_buffer, [](uv_stream_t *source, ssize_t count, const uv_buf_t *buf) {
+            auto self = static_cast<Handle *>(source->data)->owner;
+            if (!self || self->closed_ || count == 0)
+                return;
+            if (count < 0)
+                return self->handle_disconnect(count == UV_EOF
+                                                   ? reason_of_reported_end(self->handle_->tcp)
+                                                   : DisconnectReason::connection_error);
+            // After close_when_sent no callback is called: the owner may no longer exist.
+            if (self->on_received && !self->closing_when_sent_)
+                self->on_received({buf->base, static_cast<std::size_t>(count)});
+        });
 }
 
 void Socket::handle_disconnect(DisconnectReason reason) {
--- a/tests/http_gateway/helpers.hpp
+++ b/tests/http_gateway/helpers.hpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cstdio>
 #include <fstream>
+#include <latch>
 #include <map>
 #include <memory>
 #include <set>
@@ -315,6 +316,20 @@
     void reload() {
         loop.post([this] { server->reload(); });
     }
+    /// Runs `script` on this thread while the loop's thread is held up: what the peers do
+    /// meanwhile, the gateway finds all at once.
+    template <class Script>
+    void while_held_up(const Script &script) {
+        // Shared, as either thread may be the last to use them.
+        auto held = std::make_shared<std::latch>(1), released = std::make_shared<std::latch>(1);
+        loop.post([held, released] {
+            held->count_down();
+            released->wait();
+        });
+        held->wait();
+        script();
+        released->count_down();
+    }
     /// Waits for the end of a graceful shutdown; returns false on a timeout.
     bool wait_until_stopped(int timeout_ms = 4000) const {
         for (int i = 0; i < timeout_ms / 10 && !loop_ended; ++i)
--- a/tests/http_gateway/loopback_test.cpp
+++ b/tests/http_gateway/loopback_test.cpp
@@ -121,7 +121,7 @@
             auto node = gateway.node_listener.accept();
             node.read_until("x");
             node.send("HTTP/1.1 200 OK\r\n\r\nhalf ");
-            ::usleep(30'000); // the gateway must read this before a reset, which drops unread bytes
+            ::usleep(30'000); // the gateway reads this before the next piece
             node.send("and half");
             ::usleep(30'000);
             resets ? node.reset() : node.close();
@@ -132,6 +132,27 @@
                 CHECK(received == "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\nhalf and half");
         }
     }
+    // Guards against half of a response being served as the whole when a scheduler that is held up
+    // finds the reset together with the bytes (review case 1).
+    TEST_CASE(
+        "a reset that the gateway finds together with a part of a response completes nothing, "
+        "an end in order does") {
+        for (bool resets : {false, true}) {
+            LoopbackGateway gateway;
+            auto client = gateway.connect_client(write_request("t1", "x"));
+            auto node = gateway.node_listener.accept();
+            node.read_until("x");
+            gateway.while_held_up([&] {
+                node.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+                resets ? node.reset() : node.close();
+            });
+            auto received = client.read_until(resets ? "\r\n\r\n" : "half", 2500);
+            if (resets)
+                CHECK(received.starts_with("HTTP/1.1 502 "));
+            else
+                CHECK(received == "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf");
+        }
+    }
     TEST_CASE("when a client disconnects during its attempt, the node's connection is closed and "
               "nothing more is sent") {
         LoopbackGateway gateway;
