Report a connection error where a write was told of the reset before reading was

Callers saw nothing: the front counts an end only once its whole request is written.

Cause: the kernel reports a socket's error once. Socket::flush gets ECONNRESET and reports it one turn later; reading may come first, gets the bytes that had arrived and then 0, as at an end in order.

Evidence: system calls of the test: write = ECONNRESET, read = "half", recv(MSG_PEEK) = 0.

Change: a socket whose write has failed reports a connection error at the end of its stream.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -193,7 +193,7 @@
             if (!self || self->closed_ || count == 0)
                 return;
             if (count < 0)
-                return self->handle_disconnect(count == UV_EOF
+                return self->handle_disconnect(count == UV_EOF && !self->write_failed_
                                                    ? reason_of_reported_end(self->handle_->tcp)
                                                    : DisconnectReason::connection_error);
             // After close_when_sent no callback is called: the owner may no longer exist.
@@ -240,6 +240,7 @@
         if (result == UV_EAGAIN)
             break;
         if (result < 0) {
+            write_failed_ = true;
             unflushed_.clear();
             // Reported later: the caller of flush doesn't expect its socket to be closed by it.
             loop_.post([self = shared_from_this()] {
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -102,6 +102,9 @@
     Handle *handle_;
     std::vector<std::string> unflushed_; // queued until flush
     std::size_t writing_bytes_ = 0;      // bytes passed to libuv and not yet written
+    // A write has failed. The kernel reports an error once, so reading may then find an end in
+    // order.
+    bool write_failed_ = false;
     bool reading_ = false, reading_paused_ = false, closed_ = false, connected_ = false,
          closing_when_sent_ = false, finishing_sending_ = false, connect_attempted_ = false;
 };
--- a/tests/loop/socket_test.cpp
+++ b/tests/loop/socket_test.cpp
@@ -134,6 +134,19 @@
         CHECK(accepted.run_until_disconnected() == DisconnectReason::connection_error);
         CHECK(accepted.received == "half");
     }
+    // Guards against a reset that a write was told of passing for an end in order: the kernel
+    // reports a socket's error once, so that reading finds only the end.
+    TEST_CASE("a reset that a write was told of is a connection error when the rest is read") {
+        AcceptedSocket accepted;
+        auto reason = accepted.run_until_disconnected([&] {
+            accepted.peer.send("half");
+            accepted.peer.reset();
+            REQUIRE(accepted.wait_for_close());
+            accepted.socket->send("x");
+            accepted.socket->flush();
+        });
+        CHECK(reason == DisconnectReason::connection_error);
+    }
 }
 
 TEST_CASE("writing to a connection that its peer has reset reports the close and does not end the "
