Split the loop's file by class: loop, socket, listener, file watcher, send queue

src/loop/loop.cpp held four classes in 400 lines, and Socket::flush was the longest function of the package. Each class has its files now; the bytes that wait to be written are a SendQueue; flush, connect and the reading callback are short steps. What the programs do is unchanged.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -95,7 +95,14 @@
 add_library(knotvane_log src/log/log.cpp)
 target_include_directories(knotvane_log PUBLIC src)
 target_link_libraries(knotvane_log PRIVATE spdlog::spdlog nlohmann_json::nlohmann_json)
-add_library(knotvane_loop src/loop/loop.cpp src/loop/outgoing_connection.cpp)
+add_library(
+  knotvane_loop
+  src/loop/address.cpp
+  src/loop/file_watcher.cpp
+  src/loop/listener.cpp
+  src/loop/loop.cpp
+  src/loop/outgoing_connection.cpp
+  src/loop/socket.cpp)
 target_include_directories(knotvane_loop PUBLIC src)
 target_link_libraries(knotvane_loop PUBLIC PkgConfig::uv Threads::Threads)
 add_library(knotvane_edge_settings src/edge/settings.cpp src/edge/endpoint_file.cpp src/edge/plan_cache_file.cpp)
--- a/src/edge/server.hpp
+++ b/src/edge/server.hpp
@@ -11,8 +11,11 @@
 #include "edge/endpoint_file.hpp"
 #include "edge/planner_client.hpp"
 #include "edge/settings.hpp"
+#include "loop/file_watcher.hpp"
+#include "loop/listener.hpp"
 #include "loop/loop.hpp"
 #include "loop/outgoing_connection.hpp"
+#include "loop/socket.hpp"
 #include "loop/socket_map.hpp"
 #include "settings/ini.hpp"
 
--- a/src/http_gateway/server.hpp
+++ b/src/http_gateway/server.hpp
@@ -8,7 +8,9 @@
 
 #include "http_gateway/config.hpp"
 #include "http_gateway/core.hpp"
+#include "loop/listener.hpp"
 #include "loop/loop.hpp"
+#include "loop/socket.hpp"
 #include "loop/socket_map.hpp"
 
 namespace knotvane::http_gateway {
--- a/src/load/driver.cpp
+++ b/src/load/driver.cpp
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "load/session.hpp"
+#include "loop/socket.hpp"
 #include "nbd/wire.hpp"
 
 namespace knotvane::load {
--- a/src/node/server.hpp
+++ b/src/node/server.hpp
@@ -6,8 +6,10 @@
 #include <memory>
 #include <string>
 
+#include "loop/listener.hpp"
 #include "loop/loop.hpp"
 #include "loop/outgoing_connection.hpp"
+#include "loop/socket.hpp"
 #include "loop/socket_map.hpp"
 #include "node/planner_registration.hpp"
 #include "node/settings.hpp"
--- a/src/planner/server.hpp
+++ b/src/planner/server.hpp
@@ -7,7 +7,10 @@
 #include <memory>
 #include <string>
 
+#include "loop/file_watcher.hpp"
+#include "loop/listener.hpp"
 #include "loop/loop.hpp"
+#include "loop/socket.hpp"
 #include "loop/socket_map.hpp"
 #include "planner/core.hpp"
 #include "planner/desired_state_files.hpp"
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -12,7 +12,9 @@
 #include <vector>
 
 #include "common/ids.hpp"
+#include "loop/listener.hpp"
 #include "loop/loop.hpp"
+#include "loop/socket.hpp"
 #include "record/recording.hpp"
 
 namespace knotvane::relay {
--- a/tests/loop/socket_test.cpp
+++ b/tests/loop/socket_test.cpp
@@ -7,7 +7,9 @@
 #include <string>
 #include <string_view>
 
+#include "loop/listener.hpp"
 #include "loop/loop.hpp"
+#include "loop/socket.hpp"
 #include "peer.hpp"
 
 using namespace knotvane;
