--- a/tests/loop/socket_test.cpp
+++ b/tests/loop/socket_test.cpp
@@ -1,11 +1,13 @@
 // The loop's sockets on loopback, each against a scripted peer.
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "loop/listener.hpp"
 #include "loop/loop.hpp"
@@ -40,6 +42,11 @@
         pollfd polled{descriptor, POLLRDHUP, 0};
         return ::poll(&polled, 1, timeout_ms) == 1;
     }
+    /// Runs the loop for what it finds at once.
+    void run_briefly() {
+        loop_.stop();
+        loop_.run();
+    }
     /// Runs the loop until the socket reports the close; no result after a timeout.
     /// @param script called once before a wait for events, with no event pending.
     std::optional<DisconnectReason> run_until_disconnected(const std::function<void()> &script =
@@ -56,7 +63,9 @@
                 loop_.stop();
             return round < script_round ? loop::now() + ms : timeout_at;
         });
-        loop_.run();
+        while (!disconnect_reason_ && loop::now() < timeout_at)
+            loop_.run();
+        loop_.set_before_wait_callback(nullptr);
         return disconnect_reason_;
     }
 
@@ -81,6 +90,56 @@
     std::optional<DisconnectReason> disconnect_reason_;
 };
 
+/// What happens on a connection before its peer closes it.
+enum class Step {
+    peer_sends,
+    loop_runs,
+    reading_pauses,
+    reading_resumes,
+    writes,
+    finishes_sending
+};
+
+/// How the peer closes it.
+enum class PeerClose { in_order, reset, reset_after_end };
+
+/// Plays a step; returns the bytes that the peer has sent.
+std::string play(AcceptedSocket &accepted, Step step) {
+    constexpr std::size_t max_piece = 5000;
+    std::string sent;
+    switch (step) {
+    case Step::peer_sends:
+        sent.assign(*rc::gen::inRange<std::size_t>(1, max_piece), 'b');
+        accepted.peer.send(sent);
+        break;
+    case Step::loop_runs:
+        accepted.run_briefly();
+        break;
+    case Step::reading_pauses:
+        accepted.socket->set_reading_paused(true);
+        break;
+    case Step::reading_resumes:
+        accepted.socket->set_reading_paused(false);
+        break;
+    case Step::writes:
+        accepted.socket->send("x");
+        accepted.socket->flush();
+        break;
+    case Step::finishes_sending:
+        accepted.socket->finish_sending();
+        break;
+    }
+    return sent;
+}
+
+void close(Peer &peer, PeerClose how) {
+    if (how == PeerClose::in_order)
+        return peer.close();
+    if (how == PeerClose::reset_after_end)
+        peer.finish_sending();
+    peer.reset();
+}
+
 } // namespace
 
 TEST_SUITE("how a peer closed the connection") {
@@ -149,6 +208,47 @@
         });
         CHECK(reason == DisconnectReason::connection_error);
     }
+    // Guards against any other order of events in which a reset passes for the end of a response.
+    TEST_CASE(
+        "in any order of events, an end of stream means that the peer closed in order and all "
+        "its bytes arrived") {
+        constexpr std::size_t max_steps = 8;
+        CHECK(rc::check("steps before and after the peer's close", [] {
+            AcceptedSocket accepted;
+            auto steps_up_to = [](std::size_t count) {
+                auto step =
+                    rc::gen::element(Step::peer_sends, Step::loop_runs, Step::reading_pauses,
+                                     Step::reading_resumes, Step::writes, Step::finishes_sending);
+                return *rc::gen::resize(static_cast<int>(count),
+                                        rc::gen::container<std::vector<Step>>(step));
+            };
+            std::string sent;
+            bool has_written = false;
+            for (Step step : steps_up_to(max_steps)) {
+                sent += play(accepted, step);
+                has_written |= step == Step::writes;
+            }
+            auto how = *rc::gen::element(PeerClose::in_order, PeerClose::reset,
+                                         PeerClose::reset_after_end);
+            close(accepted.peer, how);
+            for (Step step : steps_up_to(max_steps))
+                if (step != Step::peer_sends) {
+                    play(accepted, step);
+                    has_written |= step == Step::writes;
+                }
+            accepted.socket->set_reading_paused(false);
+
+            auto reason = accepted.run_until_disconnected();
+            RC_ASSERT(reason.has_value());
+            if (reason == DisconnectReason::end_of_stream) {
+                RC_ASSERT(how != PeerClose::reset);
+                RC_ASSERT(accepted.received == sent);
+            } else {
+                // A peer that closes with unread bytes resets the connection.
+                RC_ASSERT(how == PeerClose::reset || has_written);
+            }
+        }));
+    }
 }
 
 TEST_CASE("writing to a connection that its peer has reset reports the close and does not end the "
