--- a/src/loop/send_queue.hpp
+++ b/src/loop/send_queue.hpp
@@ -23,15 +23,15 @@
             pieces_.push_back(std::move(bytes));
     }
 
-    /// Sets `buffers` to the first pieces that are queued, as many as there is room for, and returns
-    /// the part that was set. It is valid until the queue changes.
+    /// Sets `buffers` to the first pieces that are queued, as many as there is room for, and
+    /// returns the part that was set. It is valid until the queue changes.
     std::span<uv_buf_t> first_buffers(std::span<uv_buf_t> buffers) {
         std::size_t count = 0;
         for (; count < buffers.size() && first_ + count < pieces_.size(); ++count) {
             std::string &piece = pieces_[first_ + count];
             std::size_t skipped = count == 0 ? written_of_first_ : 0;
-            buffers[count] = uv_buf_init(piece.data() + skipped,
-                                         static_cast<unsigned>(piece.size() - skipped));
+            buffers[count] =
+                uv_buf_init(piece.data() + skipped, static_cast<unsigned>(piece.size() - skipped));
         }
         return buffers.first(count);
     }
--- a/src/loop/socket.cpp
+++ b/src/loop/socket.cpp
@@ -184,8 +184,7 @@
         std::size_t requested = 0;
         for (const uv_buf_t &buffer : buffers)
             requested += buffer.len;
-        int result =
-            uv_try_write(stream(), buffers.data(), static_cast<unsigned>(buffers.size()));
+        int result = uv_try_write(stream(), buffers.data(), static_cast<unsigned>(buffers.size()));
         if (result == UV_EAGAIN)
             return true;
         if (result < 0)
