Deploy build check: take the loader from libc6's own files, as each kind of machine has it

deploy_check and deploy_build failed on arm64 with "no loader of shared libraries": the loader was looked for in /usr/lib64, where only x86-64 has it. It is now the file of that name that the package libc6 brought into the root, so a loader of another package no longer counts either; without one the check fails as before.

--- a/scripts/deploy_build/machine.py
+++ b/scripts/deploy_build/machine.py
@@ -21,6 +21,8 @@
 # Its own files stay those of this machine: a loader and a C library of different builds don't go together.
 _C_LIBRARY_PACKAGE = "libc6"
 
+_LOADER_NAME_PREFIX = "ld-linux"
+
 
 @dataclass(frozen=True)
 class Outcome:
@@ -105,11 +107,7 @@
 
     def shared_libraries(self, program: Path) -> dict[str, Path | None]:
         """Returns where each shared library of `program` is found, or None where it isn't."""
-        loader = next((self._sysroot.path / "usr/lib64").glob("ld-linux*"), None)
-        if loader is None:
-            raise CheckError(
-                f"{self._sysroot.path}: no loader of shared libraries; expected {_C_LIBRARY_PACKAGE} to bring it"
-            )
+        loader = self._loader()
         search = ":".join(
             str(folder) for folder in sorted((self._sysroot.path / "usr/lib").glob("*-linux-gnu*"))
         )
@@ -133,6 +131,19 @@
             )
         return found
 
+    def _loader(self) -> Path:
+        """Returns the C library's loader of shared libraries. Each architecture has another name and folder for it."""
+        loaders = [
+            path
+            for path in self._sysroot.paths_of(_C_LIBRARY_PACKAGE)
+            if path.name.startswith(_LOADER_NAME_PREFIX) and path.is_file()
+        ]
+        if not loaders:
+            raise CheckError(
+                f"{self._sysroot.path}: no loader of shared libraries; expected {_C_LIBRARY_PACKAGE} to bring it"
+            )
+        return min(loaders)
+
     def _environment(self) -> dict[str, str]:
         """The whole environment of the commands; nothing of this process's own is passed on."""
         root = self._sysroot.path
