--- a/tests/fleet_size/measure.py
+++ b/tests/fleet_size/measure.py
@@ -50,7 +50,15 @@
 class Scheduler:
     """A scheduler process with its configuration in a temporary folder."""
 
-    def __init__(self, program: Path, fleet: Fleet, agent: Agent, folder: Path, log_path: Path) -> None:
+    def __init__(
+        self,
+        program: Path,
+        fleet: Fleet,
+        agent: Agent,
+        folder: Path,
+        log_path: Path,
+        max_sockets: int = MAX_SOCKETS,
+    ) -> None:
         self._program, self._folder, self._log_path = program, folder, log_path
         self._process: asyncio.subprocess.Process | None = None
         self.max_descriptors = 0
@@ -61,7 +69,7 @@
             "name": "n0",
             "listen": self.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": MAX_SOCKETS},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": max_sockets},
             "settings": settings(len(fleet.instances)),
         }
         self._write_config(fleet, agent)
@@ -103,7 +111,10 @@
 
     def reload(self, fleet: Fleet, agent: Agent) -> None:
         self._write_config(fleet, agent)
-        self._process.send_signal(signal.SIGHUP)
+        self.send_signal(signal.SIGHUP)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        self._process.send_signal(number)
 
     async def run_for(self, duration: float) -> None:
         """Waits while counting descriptors. Raises SchedulerEnded if the process ends meanwhile."""
@@ -135,6 +146,12 @@
         if self._process and self._process.returncode is None:
             self._process.kill()
 
+    async def end(self) -> None:
+        """Kills the process if it is there, and waits for its end."""
+        self.kill()
+        if self._process:
+            await self._process.wait()
+
     def _proc(self, name: str) -> Path:
         return Path(f"/proc/{self._process.pid}") / name
 
