Scheduler: state of volumes, quota shares and unanswered requests has a bound

Clients may name any number of volumes, keys and ids.

The 4,096 pairs of volume and node, and the 4,096 volumes, used last keep their state; the choice goes through those that wait. A quota share is forgotten only when it is full and not granted, so that no volume gets its burst twice; with 16,384 that aren't, further volumes wait. Unanswered requests are kept by deadline, 16,384 at most; pruning no longer scans them all.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -24,6 +24,7 @@
     tests/scheduling/fair_queue_test.cpp
     tests/scheduling/key_order_test.cpp
     tests/scheduling/latency_estimate_test.cpp
+    tests/scheduling/least_recently_used_test.cpp
     tests/scheduling/load_shedding_test.cpp
     tests/scheduling/node_health_test.cpp
     tests/scheduling/node_table_test.cpp
@@ -31,6 +32,7 @@
     tests/scheduling/placement_test.cpp
     tests/scheduling/plan_table_test.cpp
     tests/scheduling/quota_share_test.cpp
+    tests/scheduling/quota_shares_test.cpp
     tests/scheduling/recent_samples_test.cpp
     tests/scheduling/repeat_detector_test.cpp
     tests/scheduling/request_table_test.cpp
@@ -38,6 +40,7 @@
     tests/scheduling/retry_policy_test.cpp
     tests/scheduling/scheduler_core_test.cpp
     tests/scheduling/slow_start_test.cpp
+    tests/scheduling/volume_retention_test.cpp
     tests/scheduling/waiting_index_test.cpp
     tests/scheduling/windowed_sum_test.cpp
   LIBS knotvane_scheduling)
--- a/src/scheduling/fair_queue.cpp
+++ b/src/scheduling/fair_queue.cpp
@@ -22,13 +22,30 @@
     if (volume.requests.empty() && in_service_ != id)
         set_tags(volume);
     volume.requests.insert(request);
+    waiting_volumes_.insert(id);
 }
 
 void FairQueue::remove(VolumeId id, const QueueRank &request) {
-    Volume &volume = volumes_[id];
+    erase_request(id, volumes_[id], request);
+}
+
+void FairQueue::erase_request(VolumeId id, Volume &volume, const QueueRank &request) {
     volume.requests.erase(request);
-    if (volume.requests.empty())
-        waiting_weight_ = 0;
+    if (!volume.requests.empty())
+        return;
+    waiting_weight_ = 0;
+    waiting_volumes_.erase(id);
+}
+
+bool FairQueue::forget(VolumeId id) {
+    auto it = volumes_.find(id);
+    if (it == volumes_.end())
+        return true;
+    const Volume &volume = it->second;
+    if (!volume.requests.empty() || volume.attempts_in_flight > 0 || in_service_ == id)
+        return false;
+    volumes_.erase(it);
+    return true;
 }
 
 std::optional<VolumeId> FairQueue::select(Time now) {
@@ -51,14 +68,12 @@
 
 void FairQueue::request_sent(const QueueRank &request, double units, double charge) {
     if (waiting_weight_ == 0) {
-        for (const auto &[id, volume] : volumes_)
-            waiting_weight_ += volume.requests.empty() ? 0 : volume.weight;
+        for (VolumeId id : waiting_volumes_)
+            waiting_weight_ += volumes_.at(id).weight;
     }
     virtual_time_ += charge / waiting_weight_;
     Volume &volume = volumes_[*in_service_];
-    volume.requests.erase(request);
-    if (volume.requests.empty())
-        waiting_weight_ = 0;
+    erase_request(*in_service_, volume, request);
     ++volume.attempts_in_flight;
     charged_ += charge;
     units_sent_ += units;
@@ -67,9 +82,8 @@
 void FairQueue::begin_service(Time now) {
     constexpr double none = std::numeric_limits<double>::infinity();
     double least_start_tag = none;
-    for (const auto &[id, volume] : volumes_)
-        if (!volume.requests.empty())
-            least_start_tag = std::min(least_start_tag, volume.start_tag);
+    for (VolumeId id : waiting_volumes_)
+        least_start_tag = std::min(least_start_tag, volumes_.at(id).start_tag);
     if (least_start_tag == none)
         return;
 
@@ -77,8 +91,9 @@
     // eligible.
     virtual_time_ = std::max(virtual_time_, least_start_tag);
     const Volume *selected = nullptr;
-    for (const auto &[id, volume] : volumes_) {
-        bool eligible = !volume.requests.empty() && volume.start_tag <= virtual_time_;
+    for (VolumeId id : waiting_volumes_) {
+        const Volume &volume = volumes_.at(id);
+        bool eligible = volume.start_tag <= virtual_time_;
         if (eligible && (!selected || volume.finish_tag < selected->finish_tag)) {
             selected = &volume;
             in_service_ = id;
--- a/src/scheduling/fair_queue.hpp
+++ b/src/scheduling/fair_queue.hpp
@@ -77,8 +77,15 @@
     /// Records that an attempt of the volume has ended.
     void attempt_ended(VolumeId id) { --volumes_[id].attempts_in_flight; }
 
+    /// Forgets a volume that has no request waiting, no attempt in flight and isn't in service.
+    /// @return whether it is forgotten, or was not known.
+    bool forget(VolumeId id);
+
     const std::map<VolumeId, Volume> &volumes() const { return volumes_; }
 
+    /// @return the volumes that have a request waiting.
+    const std::set<VolumeId> &waiting_volumes() const { return waiting_volumes_; }
+
     /// @return the estimated service rate of the node in units per second; 0 if still unknown.
     double service_rate() const { return rate_estimator_.rate(); }
 
@@ -90,12 +97,14 @@
     void begin_service(Time now);
     void end_service(Time now, ServiceEnd end);
     void set_tags(Volume &volume) const;
+    void erase_request(VolumeId id, Volume &volume, const QueueRank &request);
 
     double largest_request_;
     double virtual_time_ = 0;
     // Total weight of the waiting volumes; 0 if it has to be computed again.
     double waiting_weight_ = 0;
     std::map<VolumeId, Volume> volumes_;
+    std::set<VolumeId> waiting_volumes_;
 
     std::optional<VolumeId> in_service_;
     Time service_began_ = 0;
--- a/src/scheduling/load_shedding.cpp
+++ b/src/scheduling/load_shedding.cpp
@@ -12,9 +12,9 @@
 
 void add_expected_disconnects(Positions &late, const NodeRecord &node, const RequestTable &requests,
                               const EarlyDisconnects &disconnects, Time now) {
-    for (const auto &[id, volume] : node.queue.volumes()) {
-        Time limit = volume.requests.empty() ? unlimited_wait : disconnects.wait_limit(id, now);
-        for (const QueueRank &rank : volume.requests) {
+    for (VolumeId id : node.queue.waiting_volumes()) {
+        const Time limit = disconnects.wait_limit(id, now);
+        for (const QueueRank &rank : node.queue.volumes().at(id).requests) {
             const Request &request = requests.at(rank.request);
             if (now + node.latency.expected_duration(request.units) > request.received_at + limit)
                 late.insert({id, rank});
--- a/src/scheduling/node_table.hpp
+++ b/src/scheduling/node_table.hpp
@@ -41,6 +41,12 @@
     NodeRecord &at(NodeId id) { return nodes_.at(id); }
     const NodeRecord &at(NodeId id) const { return nodes_.at(id); }
 
+    /// @return nullptr if the table doesn't hold the node.
+    NodeRecord *find(NodeId id) {
+        auto it = nodes_.find(id);
+        return it == nodes_.end() ? nullptr : &it->second;
+    }
+
     /// @return the number of records.
     std::size_t size() const { return nodes_.size(); }
 
--- a/src/scheduling/quota_share.cpp
+++ b/src/scheduling/quota_share.cpp
@@ -36,6 +36,14 @@
     granted_ = true;
 }
 
+bool QuotaShare::may_forget(Time now) {
+    // Adding and subtracting units leaves a rounding error.
+    constexpr double negligible = 1e-9;
+    refill(now, sharers_);
+    return !granted_ && reserved_units_ < negligible &&
+           available_units_ > burst_ / sharers_ - negligible;
+}
+
 void QuotaShare::set_limit(Time now, double rate, double burst) {
     if (rate == rate_ && burst == burst_)
         return;
--- a/src/scheduling/quota_share.hpp
+++ b/src/scheduling/quota_share.hpp
@@ -46,6 +46,10 @@
     /// @param sharers infinity for no share yet.
     void grant(Time now, double sharers);
 
+    /// @return whether the share is full, nothing of it is reserved and no planner has granted it:
+    ///     a new one would be the same.
+    bool may_forget(Time now);
+
     /// Changes the volume's limit.
     void set_limit(Time now, double rate, double burst);
 
--- a/src/scheduling/repeat_detector.hpp
+++ b/src/scheduling/repeat_detector.hpp
@@ -3,7 +3,10 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <map>
+#include <set>
+#include <utility>
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
@@ -25,9 +28,13 @@
     ///     false, any request may.
     void detect_repeat(Request &request, bool clients_mark_repeats);
 
-    /// Forgets unanswered requests that are too old to be repeated.
+    /// Forgets unanswered requests that are too old to be repeated, and the oldest ones if there
+    /// are too many.
     void prune(Time now);
 
+    /// @return the number of unanswered requests that are remembered.
+    std::size_t size() const { return unanswered_.size(); }
+
 private:
     // What a repeat has in common with the client's first request.
     struct Signature {
@@ -41,8 +48,12 @@
 
     static Signature signature_of(const Request &request);
 
+    void erase_oldest();
+
     // The latency deadline of the client's first request, by signature.
     std::map<Signature, Time> unanswered_;
+    // The same, earliest deadline first.
+    std::set<std::pair<Time, Signature>> by_deadline_;
 };
 
 } // namespace knotvane::scheduling
--- a/src/scheduling/scheduler_core.cpp
+++ b/src/scheduling/scheduler_core.cpp
@@ -151,18 +151,20 @@
     const PlanConfig &plan = plans_.get(request.plan);
     if (plan.limit_rate <= 0 || request.quota_charged)
         return QuotaDecision::admitted;
-    QuotaShare &share =
-        quota_shares_.try_emplace(request.volume, plan.limit_rate, plan.limit_burst, started_at_)
-            .first->second;
-    share.set_limit(now_, plan.limit_rate, plan.limit_burst);
-    QuotaDecision decision = share.try_take(now_, request.units, request.sharers);
+    QuotaShare *share = quota_shares_.find_or_add(now_, request.volume, plan.limit_rate,
+                                                  plan.limit_burst, started_at_);
+    if (!share)
+        return QuotaDecision::wait;
+    share->set_limit(now_, plan.limit_rate, plan.limit_burst);
+    QuotaDecision decision = share->try_take(now_, request.units, request.sharers);
     request.quota_charged = decision == QuotaDecision::admitted;
     return decision;
 }
 
 void RequestScheduler::quota_share_changed(Time now, VolumeId volume, double sharers) {
     now_ = now;
-    quota_shares_.try_emplace(volume, 0, 0, now).first->second.grant(now, sharers);
+    if (QuotaShare *share = quota_shares_.find_or_add(now, volume, 0, 0, now))
+        share->grant(now, sharers);
 }
 
 void RequestScheduler::enqueue(NodeRecord &node, Request &request) {
@@ -180,6 +182,7 @@
     QueueRank queue_rank = rank_of(request);
     node.queue.enqueue(request.volume, plans_.queue_weight(plans_.get(request.plan)), queue_rank);
     node.waiting_index.add(request.units, request.repeated, {request.volume, queue_rank});
+    volume_retention_.used(node.location.node, request.volume, nodes_, requested_units_);
 }
 
 bool RequestScheduler::is_ordered(const Request &request) {
@@ -256,9 +259,8 @@
 double RequestScheduler::relative_value(const NodeRecord &node) {
     double plans_value = plans_.total_usual_value();
     double waiting_value = 0;
-    for (const auto &[id, volume] : node.queue.volumes()) {
-        if (volume.requests.empty())
-            continue;
+    for (VolumeId id : node.queue.waiting_volumes()) {
+        const FairQueue::Volume &volume = node.queue.volumes().at(id);
         const Request &request = requests_.at(volume.requests.begin()->request);
         double rate = requested_units_[id].sum_since(now_ - value_window) / seconds(value_window);
         waiting_value +=
--- a/src/scheduling/scheduler_core.hpp
+++ b/src/scheduling/scheduler_core.hpp
@@ -13,7 +13,7 @@
 #include "scheduling/node_record.hpp"
 #include "scheduling/node_table.hpp"
 #include "scheduling/plan_table.hpp"
-#include "scheduling/quota_share.hpp"
+#include "scheduling/quota_shares.hpp"
 #include "scheduling/random.hpp"
 #include "scheduling/repeat_detector.hpp"
 #include "scheduling/request_table.hpp"
@@ -22,6 +22,7 @@
 #include "scheduling/scheduler.hpp"
 #include "scheduling/slow_start.hpp"
 #include "scheduling/time_limits.hpp"
+#include "scheduling/volume_retention.hpp"
 #include "scheduling/windowed_sum.hpp"
 
 namespace knotvane::scheduling {
@@ -125,8 +126,9 @@
 
     RequestTable requests_;
     KeyOrder key_order_;
-    std::map<VolumeId, QuotaShare> quota_shares_;
+    QuotaShares quota_shares_;
     std::map<VolumeId, WindowedSum> requested_units_;
+    VolumeRetention volume_retention_;
     RetryBudget retry_budget_;
     EarlyDisconnects early_disconnects_;
     RepeatDetector repeat_detector_;
--- a/src/scheduling/windowed_sum.hpp
+++ b/src/scheduling/windowed_sum.hpp
@@ -14,8 +14,12 @@
 class WindowedSum {
 public:
     void add(Time now, double amount) {
-        entries_.emplace_back(now, amount);
         sum_ += amount;
+        // Amounts of one moment leave the window together.
+        if (!entries_.empty() && entries_.back().first == now)
+            entries_.back().second += amount;
+        else
+            entries_.emplace_back(now, amount);
     }
 
     /// Discards the amounts that were added before `from`; later calls don't include them either.
--- a/tests/memory/bounded_state_test.cpp
+++ b/tests/memory/bounded_state_test.cpp
@@ -71,6 +71,20 @@
     CHECK(gateway.serve_round(true) <= allowed_growth);
 }
 
+// Guards against memory that grows without end under ever new names (issue 48).
+TEST_CASE("requests of ever new volumes, keys and ids leave a bounded amount of memory in use") {
+    // What is kept of the names that were used last fills up at first.
+    constexpr std::size_t allowed_in_all = 2'000'000;
+    constexpr int rounds_until_full = 2;
+    ServedGateway gateway;
+    const std::size_t before = heap_bytes();
+    for (int i = 0; i < rounds_until_full; ++i)
+        gateway.serve_round(true);
+    CHECK(heap_bytes() - before <= allowed_in_all);
+    CHECK(gateway.serve_round(true) <= allowed_growth);
+    CHECK(gateway.serve_round(true) <= allowed_growth);
+}
+
 // Guards against responses that together exceed the host's memory (found beside issue 44).
 TEST_CASE("responses that all nodes send at once fit the memory of the smallest host") {
     constexpr int connection_count = 60;
--- a/tests/scheduling/repeat_detector_test.cpp
+++ b/tests/scheduling/repeat_detector_test.cpp
@@ -37,6 +37,22 @@
     return request;
 }
 
+// Guards against memory and time that grow with the names that clients make up (issue 48).
+TEST_CASE("among any number of unanswered requests the latest ones are still known") {
+    RepeatDetector detector;
+    constexpr std::uint64_t count = 100'000;
+    for (std::uint64_t i = 1; i <= count; ++i) {
+        Request request = request_at(static_cast<Time>(i) * us, KeyId{i});
+        detector.detect_repeat(request, false);
+        detector.record_unanswered(request);
+        detector.prune(request.received_at);
+    }
+    CHECK(detector.size() <= 20'000);
+    Request repeat = request_at(200 * ms, KeyId{count});
+    detector.detect_repeat(repeat, false);
+    CHECK(repeat.first_latency_deadline < repeat.received_at + 100 * ms);
+}
+
 TEST_CASE("a repeat of an unanswered request keeps the latency deadline of the first one") {
     RepeatDetector detector;
     Request first = request_at(0);
