Loop: read a socket four times an iteration, so that one peer doesn't hold up others

libuv reads a socket up to 32 times in a row while the buffer of 256 KiB gets full: up to 8 MiB of one peer that sends without a pause, with all that they cause, before any other socket, timer or decision has its turn.

After four reads the buffer offered is empty, on which libuv turns to the next socket and comes back in the next iteration. The CPU time of all programs that use the loop was not measured for this alone.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -38,6 +38,7 @@
     uv_prepare_init(&loop_, &prepare_);
     uv_prepare_start(&prepare_, [](uv_prepare_t *prepare) {
         auto &self = *static_cast<Loop *>(prepare->loop->data);
+        ++self.iteration_;
         if (!self.before_wait_)
             return;
         Time due = self.before_wait_();
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -2,6 +2,7 @@
 /// A thin layer over libuv's event loop: one loop per thread, and calls posted from other threads.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -33,6 +34,9 @@
     /// Sets the function that is called before each wait for events. It returns the time at which
     /// it must be called again at the latest; the largest Time for none.
     void set_before_wait_callback(std::function<Time()> call) { before_wait_ = std::move(call); }
+    /// The number of iterations so far. Events that are handled without a wait in between see the
+    /// same one.
+    std::uint64_t iteration() const { return iteration_; }
 
 private:
     struct PostedCalls;
@@ -41,6 +45,7 @@
     uv_prepare_t prepare_;
     uv_timer_t timer_;
     std::function<Time()> before_wait_;
+    std::uint64_t iteration_ = 0;
     std::unique_ptr<PostedCalls> posted_calls_;
 };
 
--- a/src/loop/socket.cpp
+++ b/src/loop/socket.cpp
@@ -16,14 +16,13 @@
 // Size of one read: holds a few large requests or very many small ones.
 constexpr std::size_t read_size = 256 << 10;
 
+// How often one iteration of the loop reads a socket whose peer sends faster than it is read: all
+// other sockets wait meanwhile.
+constexpr int max_reads_in_iteration = 4;
+
 // How many pieces one write takes.
 constexpr std::size_t max_buffers = 64;
 
-void provide_read_buffer(uv_handle_t *, std::size_t, uv_buf_t *buf) {
-    thread_local std::vector<char> buffer(read_size);
-    *buf = uv_buf_init(buffer.data(), static_cast<unsigned>(buffer.size()));
-}
-
 /// Returns how the peer ended a connection for which libuv has reported UV_EOF. libuv also reports
 /// it when it polls a hang-up after a read that did not fill the buffer, without reading again. If
 /// the hang-up is a reset, the socket still holds the error.
@@ -117,7 +116,10 @@
         uv_read_stop(stream());
         return;
     }
-    uv_read_start(stream(), provide_read_buffer,
+    auto provide_buffer = [](uv_handle_t *source, std::size_t, uv_buf_t *buffer) {
+        *buffer = static_cast<Handle *>(source->data)->owner->next_read_buffer();
+    };
+    uv_read_start(stream(), provide_buffer,
                   [](uv_stream_t *source, ssize_t result, const uv_buf_t *buf) {
                       // Keeps the socket until its callbacks have returned.
                       auto self = static_cast<Handle *>(source->data)->owner;
@@ -126,8 +128,21 @@
                   });
 }
 
+uv_buf_t Socket::next_read_buffer() {
+    thread_local std::vector<char> buffer(read_size);
+    if (reads_iteration_ != loop_.iteration()) {
+        reads_iteration_ = loop_.iteration();
+        reads_in_iteration_ = 0;
+    }
+    ++reads_in_iteration_;
+    if (reads_in_iteration_ > max_reads_in_iteration)
+        return uv_buf_init(nullptr, 0);
+    return uv_buf_init(buffer.data(), static_cast<unsigned>(buffer.size()));
+}
+
 void Socket::read_finished(ssize_t result, const char *bytes) {
-    if (closed_ || result == 0)
+    // UV_ENOBUFS: the iteration has read enough of this socket; the next one goes on.
+    if (closed_ || result == 0 || result == UV_ENOBUFS)
         return;
     if (result < 0)
         return handle_disconnect(disconnect_reason(result));
--- a/src/loop/socket.hpp
+++ b/src/loop/socket.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -72,6 +73,9 @@
     struct QueuedWrite;
 
     uv_stream_t *stream() { return reinterpret_cast<uv_stream_t *>(&handle_->tcp); }
+    /// Provides the buffer of the next read; an empty one, on which libuv turns to the next socket,
+    /// after the most reads of one iteration.
+    uv_buf_t next_read_buffer();
     void connect_finished(bool succeeded, const std::function<void(bool)> &done);
     /// Handles the result of a read as libuv reports it: the number of bytes, or an error.
     void read_finished(ssize_t result, const char *bytes);
@@ -98,6 +102,9 @@
     /// Whether a write has failed. The kernel reports an error once, so that reading may then find
     /// an end in order.
     bool write_failed_ = false;
+    /// The iteration of the loop that read last, and its number of reads.
+    std::uint64_t reads_iteration_ = 0;
+    int reads_in_iteration_ = 0;
     bool reading_ = false;
     bool reading_paused_ = false;
     bool closed_ = false;
--- a/tests/loop/socket_test.cpp
+++ b/tests/loop/socket_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "loop/listener.hpp"
@@ -251,6 +252,29 @@
     }
 }
 
+// Guards against one peer that keeps the others waiting (issue 48).
+TEST_CASE("a peer that sends without a pause is read a few times, then the other sockets are") {
+    constexpr std::size_t allowed_bytes = 1 << 20;
+    constexpr std::size_t total_bytes = 64 << 20;
+    constexpr int fill_time_us = 100'000;
+    AcceptedSocket accepted;
+    std::thread sender([&] {
+        const std::string bytes(total_bytes, 'b');
+        accepted.peer.send(bytes);
+        accepted.peer.finish_sending();
+    });
+    // The kernel enlarges its buffer while the socket is read as fast as its peer sends.
+    while (accepted.received.size() < total_bytes / 2)
+        accepted.run_briefly();
+    ::usleep(fill_time_us);
+    const std::size_t before = accepted.received.size();
+    accepted.run_briefly();
+    CHECK(accepted.received.size() - before <= allowed_bytes);
+    CHECK(accepted.run_until_disconnected() == DisconnectReason::end_of_stream);
+    CHECK(accepted.received.size() == total_bytes);
+    sender.join();
+}
+
 TEST_CASE("writing to a connection that its peer has reset reports the close and does not end the "
           "process") {
     loop::Loop loop;
