--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -2,6 +2,7 @@
 /// Accepts TCP connections.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,10 +32,19 @@
         uv_tcp_t tcp;
         Listener *owner;
     };
+    /// Accepts the connection that libuv has reported, now or in the next iteration of the loop.
+    void connection_ready();
+    void accept_one();
+
     Loop &loop_;
     Handle *handle_;
+    /// The iteration of the loop that accepted last, and the number that it accepted.
+    std::uint64_t accepts_iteration_ = 0;
+    int accepts_in_iteration_ = 0;
     std::string address_;
     std::function<void(std::shared_ptr<Socket>)> on_accept_;
+    /// Tells a call that is posted whether the listener still exists.
+    std::shared_ptr<Listener *> self_ = std::make_shared<Listener *>(this);
 };
 
 } // namespace knotvane::loop
--- a/tests/http_gateway/loopback_test.cpp
+++ b/tests/http_gateway/loopback_test.cpp
@@ -179,6 +179,24 @@
         CHECK(received.empty());
         CHECK(!gateway.node_listener.wait_readable(300));
     }
+    // Guards against a new client's connection that is closed unserved beside a crowd of clients
+    // that have left already (issue 48): all were accepted before the first close was noticed.
+    TEST_CASE("a client that connects among more that come and leave than may connect is served") {
+        constexpr int leavers = 200;
+        LoopbackGateway gateway;
+        Peer client;
+        gateway.while_held_up([&] {
+            for (int i = 0; i < leavers; ++i)
+                gateway.connect_client().close();
+            client = gateway.connect_client(read_request("t1"));
+            for (int i = 0; i < leavers; ++i)
+                gateway.connect_client().close();
+        });
+        auto node = gateway.node_listener.accept();
+        node.read_until("\r\n\r\n");
+        node.send(http_response(200, "one"));
+        CHECK(client.read_until("one").ends_with("one"));
+    }
 }
 
 TEST_SUITE("discovery on sockets") {
--- a/tests/loop/socket_test.cpp
+++ b/tests/loop/socket_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -275,6 +276,38 @@
     sender.join();
 }
 
+// Guards against a crowd of new connections that keeps the others waiting (issue 48).
+TEST_CASE("of many connections that wait, one iteration accepts a few, and all are accepted") {
+    constexpr std::size_t count = 200;
+    constexpr std::size_t allowed_at_once = 50;
+    loop::Loop loop;
+    std::vector<std::shared_ptr<loop::Socket>> accepted;
+    auto listener = std::make_unique<loop::Listener>(
+        loop, "127.0.0.1:0",
+        [&](const std::shared_ptr<loop::Socket> &socket) { accepted.push_back(socket); });
+    std::vector<Peer> peers;
+    for (std::size_t i = 0; i < count; ++i)
+        peers.push_back(Peer::connect_to(listener->address()));
+    std::size_t most_at_once = 0;
+    const Time timeout_at = loop::now() + 5 * sec;
+    while (accepted.size() < count && loop::now() < timeout_at) {
+        const std::size_t before = accepted.size();
+        uv_run(loop.raw(), UV_RUN_NOWAIT);
+        most_at_once = std::max(most_at_once, accepted.size() - before);
+    }
+    CHECK(accepted.size() == count);
+    CHECK(most_at_once <= allowed_at_once);
+    // A connection that waits for its turn when the listener ends is dropped.
+    for (std::size_t i = 0; i < allowed_at_once; ++i)
+        peers.push_back(Peer::connect_to(listener->address()));
+    uv_run(loop.raw(), UV_RUN_NOWAIT);
+    listener.reset();
+    const std::size_t at_end = accepted.size();
+    for (int i = 0; i < 3; ++i)
+        uv_run(loop.raw(), UV_RUN_NOWAIT);
+    CHECK(accepted.size() == at_end);
+}
+
 TEST_CASE("writing to a connection that its peer has reset reports the close and does not end the "
           "process") {
     loop::Loop loop;
