Platform's front: an id that a node may have got is refused for a minute

The last 4,096 trace ids were remembered, whether a node got them or not.

TraceIdHistory keeps an id while its request is open, after it for a minute if an attempt was started, 32,768 of these at most (1.8 MB by count), else among the last 4,096. The test fails where a sent id is treated as an unsent one.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -154,7 +154,8 @@
   src/http_gateway/request_parser.cpp
   src/http_gateway/discovery.cpp
   src/http_gateway/connection_pool.cpp
-  src/http_gateway/trace.cpp)
+  src/http_gateway/trace.cpp
+  src/http_gateway/trace_id_history.cpp)
 target_link_libraries(
   knotvane_http_gateway
   PUBLIC knotvane_scheduler_setup knotvane_http
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -120,6 +120,7 @@
 package_tests(
   http_gateway
   SOURCES
+    tests/http_gateway/client_limits_test.cpp
     tests/http_gateway/config_test.cpp
     tests/http_gateway/core_test.cpp
     tests/http_gateway/connection_races_test.cpp
--- a/src/http_gateway/core.cpp
+++ b/src/http_gateway/core.cpp
@@ -61,9 +61,9 @@
 
 Core::Core(Transport &transport, const SchedulerFactory &scheduler_factory,
            const CoreConfig &config)
-    : transport_(transport),
-      clients_(transport, *this, connection_ids_, RequestParser(config.workloads, config.plans),
-               max_client_connections(config.max_sockets)),
+    : transport_(transport), clients_(transport, *this, connection_ids_,
+                                      RequestParser(config.workloads, config.plans, trace_ids_),
+                                      max_client_connections(config.max_sockets)),
       pool_(transport, *this, connection_ids_, pool_options(config)),
       discovery_(transport, *this, connection_ids_, config.zones,
                  {config.settings.text("RegistryMode") == "on_request", config.seed}),
@@ -254,8 +254,11 @@
 
 void Core::erase_if_done(RequestId id) {
     auto it = requests_.find(id);
-    if (it != requests_.end() && it->second.ended && it->second.attempts_in_flight == 0)
-        requests_.erase(it);
+    if (it == requests_.end() || !it->second.ended || it->second.attempts_in_flight > 0)
+        return;
+    bool sent = it->second.attempts_started > 0;
+    trace_ids_.request_done(now_, it->second.outbound->trace_id, sent);
+    requests_.erase(it);
 }
 
 void Core::start_attempt(RequestId request, NodeId node, Time timeout) {
--- a/src/http_gateway/core.hpp
+++ b/src/http_gateway/core.hpp
@@ -19,6 +19,7 @@
 #include "http_gateway/connection_pool.hpp"
 #include "http_gateway/discovery.hpp"
 #include "http_gateway/graceful_shutdown.hpp"
+#include "http_gateway/trace_id_history.hpp"
 #include "http_gateway/transport.hpp"
 #include "scheduler_setup/options.hpp"
 #include "scheduling/scheduler.hpp"
@@ -159,6 +160,7 @@
 
     Transport &transport_;
     ConnectionIds connection_ids_;
+    TraceIdHistory trace_ids_;
     ClientConnections clients_;
     ConnectionPool pool_;
     Discovery discovery_;
--- a/src/http_gateway/request_parser.cpp
+++ b/src/http_gateway/request_parser.cpp
@@ -7,9 +7,6 @@
 namespace knotvane::http_gateway {
 namespace {
 
-// How many trace ids are remembered: those of about ten seconds on a busy gateway.
-constexpr std::size_t max_trace_ids = 4096;
-
 constexpr std::size_t max_trace_id_bytes = 64;
 constexpr std::size_t max_idempotency_key_bytes = 256;
 
@@ -96,7 +93,8 @@
 } // namespace
 
 RequestParser::RequestParser(const std::vector<std::string> &workloads,
-                             const std::vector<std::string> &plans) {
+                             const std::vector<std::string> &plans, TraceIdHistory &trace_ids)
+    : trace_ids_(trace_ids) {
     for (std::uint32_t i = 0; i < workloads.size(); ++i)
         workloads_[workloads[i]] = WorkloadId{i};
     for (std::uint32_t i = 0; i < plans.size(); ++i)
@@ -119,7 +117,7 @@
     // This check is the last one: the trace id of an invalid message must not be remembered, so
     // that the client can use it again.
     auto trace_id = message.header("X-Trace-Id").value_or("");
-    if (!remember_trace_id(trace_id))
+    if (!trace_ids_.add(trace_id))
         return RequestError{409, "X-Trace-Id: was used before"};
 
     info.repeated = message.header("X-Second-Try") == "1";
@@ -199,16 +197,4 @@
     return std::nullopt;
 }
 
-bool RequestParser::remember_trace_id(std::string_view trace_id) {
-    auto hash = static_cast<std::uint64_t>(std::hash<std::string_view>{}(trace_id));
-    if (!trace_ids_.insert(hash).second)
-        return false;
-    trace_ids_in_order_.push_back(hash);
-    if (trace_ids_in_order_.size() > max_trace_ids) {
-        trace_ids_.erase(trace_ids_in_order_.front());
-        trace_ids_in_order_.pop_front();
-    }
-    return true;
-}
-
 } // namespace knotvane::http_gateway
--- a/src/http_gateway/request_parser.hpp
+++ b/src/http_gateway/request_parser.hpp
@@ -3,21 +3,19 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <variant>
 #include <vector>
 
 #include "common/time.hpp"
 #include "http/decoder.hpp"
 #include "http_gateway/outbound_request.hpp"
+#include "http_gateway/trace_id_history.hpp"
 #include "scheduling/events.hpp"
 
 namespace knotvane::http_gateway {
@@ -43,12 +41,13 @@
 
 using ParsedRequest = std::variant<ClientRequest, HealthCheck, RequestError>;
 
-/// Turns complete HTTP messages into requests. Remembers the last trace ids and refuses a request
-/// with one of them.
+/// Turns complete HTTP messages into requests. Refuses a request whose trace id was used before.
 class RequestParser {
 public:
     /// @param workloads, plans the names, in the order of their ids.
-    RequestParser(const std::vector<std::string> &workloads, const std::vector<std::string> &plans);
+    /// @param trace_ids gets the ids of valid requests; must outlive the parser.
+    RequestParser(const std::vector<std::string> &workloads, const std::vector<std::string> &plans,
+                  TraceIdHistory &trace_ids);
 
     /// Parses a complete message. Moves the body out of it if it is a request.
     ParsedRequest parse(http::Decoder &message);
@@ -62,14 +61,9 @@
     std::optional<RequestError> read_keys(const http::Decoder &message, RequestInfo &info);
     std::optional<RequestError> read_extent(const http::Decoder &message, RequestInfo &info);
 
-    /// Returns false if the trace id was used by an earlier request.
-    bool remember_trace_id(std::string_view trace_id);
-
     std::map<std::string, WorkloadId, std::less<>> workloads_;
     std::map<std::string, PlanId, std::less<>> plans_;
-    /// Hashes of the last trace ids that were accepted: as a set, and from oldest to newest.
-    std::unordered_set<std::uint64_t> trace_ids_;
-    std::deque<std::uint64_t> trace_ids_in_order_;
+    TraceIdHistory &trace_ids_;
 };
 
 } // namespace knotvane::http_gateway
