Platform's front: no attempt begins for a client whose close the kernel already knows

A client's close is reported behind the bytes before it and beside other events.

The kernel is asked (poll, POLLRDHUP) before an attempt begins: where it is decided, before a connection is taken or made, and before its first byte, as connecting may take long. The request is canceled at once, so that no retry is tried. A system that can't tell leaves things as they were. The new tests fail without the question.

--- a/src/http_gateway/core.cpp
+++ b/src/http_gateway/core.cpp
@@ -1,6 +1,7 @@
 #include "http_gateway/core.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "http_gateway/trace_line.hpp"
 #include "scheduler_setup/setup.hpp"
@@ -139,6 +140,8 @@
     // next pipelined request. Both are handled in a further round; a few rounds are enough.
     constexpr int max_rounds = 8;
     for (int round = 0; round < max_rounds; ++round) {
+        for (ConnectionId client : std::exchange(closed_clients_, {}))
+            request_canceled(now, client);
         while (!completed_attempts_.empty()) {
             CompletedAttempt attempt = std::move(completed_attempts_.front());
             completed_attempts_.pop_front();
@@ -268,6 +271,10 @@
     ++state.attempts_in_flight;
     if (transport_.tracing())
         ++scheduled_attempts_[node];
+    if (transport_.peer_closed(state.client)) {
+        closed_clients_.push_back(state.client);
+        return attempt_completed({{request, attempt}, node, AttemptOutcome::not_sent, 0, now_, {}});
+    }
     Time timeout_at =
         timeout > 0 ? std::min(state.client_timeout, now_ + timeout) : state.client_timeout;
     pool_.start_attempt(now_, {request, attempt}, node, state.outbound, timeout_at);
@@ -294,6 +301,10 @@
 }
 
 bool Core::may_send_attempt(Time now, const AttemptKey &key) const {
+    // The client may have closed while the connection was being established.
+    auto request = requests_.find(key.request);
+    if (request == requests_.end() || transport_.peer_closed(request->second.client))
+        return false;
     return scheduler_->may_send_attempt(now, key.request, key.attempt);
 }
 
--- a/src/http_gateway/core.hpp
+++ b/src/http_gateway/core.hpp
@@ -172,6 +172,10 @@
     /// Attempts whose outcome isn't reported to the scheduler yet. That is done in settle, as the
     /// scheduler must not be called from within one of its own calls.
     std::deque<CompletedAttempt> completed_attempts_;
+    /// Clients with a request in flight whose close is known to the kernel, but not reported yet:
+    /// bytes before it are to be read, or other events came first. Their requests are canceled in
+    /// settle.
+    std::vector<ConnectionId> closed_clients_;
     std::set<std::pair<Time, TimerId>> timers_;
     /// The nodes of the endpoint list.
     std::set<NodeId> nodes_;
--- a/src/http_gateway/server.cpp
+++ b/src/http_gateway/server.cpp
@@ -94,6 +94,11 @@
         socket->finish_sending();
 }
 
+bool Server::peer_closed(ConnectionId connection) const {
+    auto socket = sockets_.find(connection);
+    return !socket || socket->peer_closed();
+}
+
 void Server::trace(const std::string &line) {
     log::write(log::info, "trace " + line);
 }
--- a/src/http_gateway/transport.hpp
+++ b/src/http_gateway/transport.hpp
@@ -36,6 +36,10 @@
     /// side's close are still reported to the core.
     virtual void finish_sending(ConnectionId connection) = 0;
 
+    /// Whether the other side has closed the connection or its sending side, even if that isn't
+    /// reported to the core yet, as bytes before it are still to be read.
+    virtual bool peer_closed(ConnectionId connection) const = 0;
+
     /// Writes a warning to the log.
     virtual void log_event(const std::string &text) = 0;
 
--- a/src/loop/socket.cpp
+++ b/src/loop/socket.cpp
@@ -1,5 +1,6 @@
 #include "loop/socket.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -140,6 +141,15 @@
     return uv_buf_init(buffer.data(), static_cast<unsigned>(buffer.size()));
 }
 
+bool Socket::peer_closed() const {
+    uv_os_fd_t descriptor = -1;
+    if (closed_ ||
+        uv_fileno(reinterpret_cast<const uv_handle_t *>(&handle_->tcp), &descriptor) != 0)
+        return closed_;
+    pollfd polled{descriptor, POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) == 1 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Socket::read_finished(ssize_t result, const char *bytes) {
     // UV_ENOBUFS: the iteration has read enough of this socket; the next one goes on.
     if (closed_ || result == 0 || result == UV_ENOBUFS)
--- a/src/loop/socket.hpp
+++ b/src/loop/socket.hpp
@@ -53,6 +53,9 @@
     bool has_unflushed() const { return !unflushed_.empty(); }
     /// Pauses or resumes reading. While paused, received bytes stay in the kernel.
     void set_reading_paused(bool paused);
+    /// Whether the peer has closed the connection or its sending side, also if bytes that it sent
+    /// before are not read yet. False if the system can't tell.
+    bool peer_closed() const;
     /// Closes the connection after writing the queued bytes that the kernel accepts at once. With
     /// `reset`, queued bytes are dropped and the connection is reset.
     void close(bool reset = false);
--- a/tests/http_gateway/client_limits_test.cpp
+++ b/tests/http_gateway/client_limits_test.cpp
@@ -9,6 +9,35 @@
 using namespace knotvane::http_gateway;
 
 TEST_SUITE("clients that have left") {
+    // Guards against requests that are sent on for a client that has left (issue 48): its close was
+    // known to the kernel, but still behind unread bytes or other events.
+    TEST_CASE("no connection is made for a client that has closed its own, although that isn't "
+              "reported yet, and its request is canceled") {
+        TestGateway gateway;
+        auto client = *gateway.core.client_connected(gateway.now);
+        gateway.core.received(gateway.now, client, read_request("t1") + read_request("t2"));
+        gateway.transport.gone_peers.insert(client);
+        gateway.settle();
+        CHECK(gateway.transport.connection_to("n1").value == 0);
+        CHECK(gateway.core.request_count() == 0);
+        gateway.settle(sec);
+        CHECK(gateway.transport.sent[client].empty());
+        gateway.disconnect(client);
+        CHECK(gateway.core.request_counts().received == 1);
+        CHECK(gateway.core.request_counts().canceled == 1);
+        CHECK(gateway.core.clients().count() == 0);
+    }
+    TEST_CASE("nothing is sent for a client that closed while the connection to the node was being "
+              "established") {
+        TestGateway gateway;
+        auto client = gateway.connect_client(read_request("t1"));
+        gateway.transport.gone_peers.insert(client);
+        auto node = gateway.connect_node();
+        CHECK(gateway.transport.sent[node].empty());
+        CHECK(gateway.transport.closed.contains(node));
+        gateway.disconnect(client);
+        CHECK(gateway.core.request_count() == 0);
+    }
     // Guards against an id that runs twice (issue 48): it was forgotten among later ones.
     TEST_CASE("an id that a node got is refused after thousands of others, also when its client "
               "has left") {
--- a/tests/http_gateway/helpers.hpp
+++ b/tests/http_gateway/helpers.hpp
@@ -47,6 +47,8 @@
     std::set<ConnectionId> closed;
     /// Those of `closed` that are closed only for sending: the peer's bytes are still received.
     std::set<ConnectionId> half_closed;
+    /// Connections whose peer has closed them, which is not yet reported to the core.
+    std::set<ConnectionId> gone_peers;
     std::vector<std::string> logged_events;
     bool traces = false;
     std::string traced_lines;
@@ -70,6 +72,7 @@
         closed.insert(id);
         half_closed.insert(id);
     }
+    bool peer_closed(ConnectionId id) const override { return gone_peers.contains(id); }
     void log_event(const std::string &text) override { logged_events.push_back(text); }
     void trace(const std::string &line) override { traced_lines += line + "\n"; }
     bool tracing() const override { return traces; }
--- a/tests/http_gateway/loopback_test.cpp
+++ b/tests/http_gateway/loopback_test.cpp
@@ -179,6 +179,32 @@
         CHECK(received.empty());
         CHECK(!gateway.node_listener.wait_readable(300));
     }
+    // Guards against requests that are sent on for a client that has left (issue 48). The gateway
+    // finds the request and the client's close at once, some time after the close.
+    TEST_CASE("a request that is read after its client has closed the connection is not sent to a "
+              "node") {
+        for (int count : {1, 1000}) {
+            LoopbackGateway gateway;
+            auto first_client = gateway.connect_client(read_request("first"));
+            auto node = gateway.node_listener.accept();
+            node.read_until("\r\n\r\n");
+            node.send(http_response(200, "one"));
+            first_client.read_until("one");
+            // The connection to the node may be used again.
+            ::usleep(30'000);
+            std::string requests;
+            for (int i = 0; i < count; ++i)
+                requests += read_request("left" + std::to_string(i));
+            gateway.while_held_up([&] {
+                gateway.connect_client(requests).close();
+                ::usleep(150'000);
+            });
+            std::string received;
+            node.read_to_end(received, 300);
+            CHECK(received.empty());
+            CHECK(!gateway.node_listener.wait_readable(0));
+        }
+    }
     // Guards against a new client's connection that is closed unserved beside a crowd of clients
     // that have left already (issue 48): all were accepted before the first close was noticed.
     TEST_CASE("a client that connects among more that come and leave than may connect is served") {
--- a/tests/loop/socket_test.cpp
+++ b/tests/loop/socket_test.cpp
@@ -308,6 +308,20 @@
     CHECK(accepted.size() == at_end);
 }
 
+TEST_CASE("a peer's close is known while bytes before it are unread") {
+    AcceptedSocket accepted;
+    accepted.socket->set_reading_paused(true);
+    accepted.peer.send("unread");
+    CHECK(!accepted.socket->peer_closed());
+    accepted.peer.finish_sending();
+    REQUIRE(accepted.wait_for_close());
+    CHECK(accepted.socket->peer_closed());
+    accepted.socket->set_reading_paused(false);
+    CHECK(accepted.run_until_disconnected() == DisconnectReason::end_of_stream);
+    CHECK(accepted.received == "unread");
+    CHECK(accepted.socket->peer_closed());
+}
+
 TEST_CASE("writing to a connection that its peer has reset reports the close and does not end the "
           "process") {
     loop::Loop loop;
