Platform's front: bounds on what clients take of memory and of an iteration; status

The cause is one of class: nothing at the door was bounded over all clients, only each connection's input. - All that one read had brought was handled at once (10,000 readiness checks), and their responses were queued without a bound for a client that doesn't read. Now a turn handles 16 messages of a connection, none while over 64 KiB of responses wait, and the connection isn't read meanwhile. - 656 connections of 64 KiB and more each stood against 32 MB. Unfinished requests, bytes behind an open request, bodies in flight and unread responses now share an eighth of limits.memory_mb. Past it the unfinished request that held most for longest is refused with 503, of those over an even share; then a whole one; then a client that has not read for 0.5 s is ended. - A decoder kept the memory of its largest message, as clear() and an assignment of {} do; bytes behind a request were kept in the pieces they came in, forty times the size of single ones. The line status tells client_memory_kib, health_checks, invalid, evicted, refused_for_memory, closed_for_memory: nothing told of these before.

The tests were seen failing with their bound or change taken away, but that of heads of many short fields, which passes without; eviction of a connection whose messages wait, and the exception for an even share, have no test that fails without them.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -146,11 +146,13 @@
 add_library(
   knotvane_http_gateway
   src/http_gateway/client_connections.cpp
+  src/http_gateway/client_response.cpp
   src/http_gateway/config.cpp
   src/http_gateway/core.cpp
   src/http_gateway/endpoint_list.cpp
   src/http_gateway/graceful_shutdown.cpp
   src/http_gateway/outbound_request.cpp
+  src/http_gateway/pipelined_input.cpp
   src/http_gateway/request_parser.cpp
   src/http_gateway/discovery.cpp
   src/http_gateway/connection_pool.cpp
--- a/src/http/decoder.cpp
+++ b/src/http/decoder.cpp
@@ -49,11 +49,19 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+/// Empties a container and frees its memory, which clear() and an assignment keep.
+template <class Container>
+void free_memory(Container &container) {
+    Container().swap(container);
+}
+
 } // namespace
 
 /// The message that is being decoded. Holds http_parser's state and handles its callbacks.
 class Decoder::Message {
 public:
+    using Header = std::pair<std::string, std::string>;
+
     Message(MessageKind message_kind, std::size_t max_head_bytes, std::size_t max_body_bytes)
         : kind(message_kind), max_head(max_head_bytes), max_body(max_body_bytes) {
         reset();
@@ -65,9 +73,10 @@
         state = MessageState::empty;
         error = "";
         error_status = 400;
-        target.clear();
-        body.clear();
-        headers.clear();
+        // A connection that has once sent a large message may stay idle.
+        free_memory(target);
+        free_memory(body);
+        free_memory(headers);
         in_header_name_ = false;
         head_complete_ = false;
         keep_alive = true;
@@ -104,6 +113,15 @@
         return {};
     }
 
+    /// Returns the memory that the message's parts occupy, in bytes.
+    std::size_t memory_bytes() const {
+        std::size_t bytes =
+            target.capacity() + body.capacity() + headers.capacity() * sizeof(Header);
+        for (const auto &[name, value] : headers)
+            bytes += name.capacity() + value.capacity();
+        return bytes;
+    }
+
     /// Returns the table of callbacks for the parser.
     static const http_parser_settings &callbacks();
 
@@ -116,7 +134,7 @@
     unsigned error_status = 400;
     std::string target;
     std::string body;
-    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<Header> headers;
     bool keep_alive = true;
     /// Bytes consumed since the message began or since take_body() was last called.
     std::size_t raw_bytes = 0;
@@ -306,6 +324,10 @@
     return message_->state;
 }
 
+std::size_t Decoder::memory_bytes() const {
+    return message_->memory_bytes();
+}
+
 const char *Decoder::error() const {
     return message_->error;
 }
--- a/src/http/decoder.hpp
+++ b/src/http/decoder.hpp
@@ -47,6 +47,9 @@
     void start_next();
 
     MessageState state() const;
+    /// The memory that the message's parts occupy, in bytes: more than was received of it, as each
+    /// field of the head is kept apart.
+    std::size_t memory_bytes() const;
     /// Why the message is invalid; empty for any other message.
     const char *error() const;
     /// The HTTP status to answer an invalid request with.
--- a/src/http_gateway/client_connections.cpp
+++ b/src/http_gateway/client_connections.cpp
@@ -33,6 +33,17 @@
 // that the client's close is noticed.
 constexpr std::size_t max_pipelined_bytes = 72 << 10;
 
+// How many messages of one connection are handled before other connections have their turn.
+constexpr int max_messages_per_turn = 16;
+
+// While more bytes of responses than this wait for a client to read them, its next message isn't
+// handled.
+constexpr std::size_t max_unsent_bytes = 64 << 10;
+
+// A client that hasn't read any byte of its response for this long may lose the response if memory
+// runs out.
+constexpr Time min_unread_time = 500 * ms;
+
 // How long a half-closed connection waits for the client to close its side, and how many bytes are
 // read and discarded meanwhile. Closing a socket with unread bytes resets the connection, by which
 // the client would lose the response.
@@ -43,37 +54,6 @@
 // timeout of 3 s.
 constexpr Time last_response_timeout = 5 * sec;
 
-const char *reason_phrase(unsigned status) {
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 404:
-        return "Not Found";
-    case 405:
-        return "Method Not Allowed";
-    case 408:
-        return "Request Timeout";
-    case 409:
-        return "Conflict";
-    case 413:
-        return "Payload Too Large";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 501:
-        return "Not Implemented";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 505:
-        return "HTTP Version Not Supported";
-    default:
-        return "Error";
-    }
-}
-
 // The eviction rank of connections that are never closed to make room.
 constexpr int never_evicted = 5;
 
@@ -81,20 +61,23 @@
 
 ClientConnections::ClientConnections(Transport &transport, ClientRequestEvents &events,
                                      ConnectionIds &connection_ids, RequestParser parser,
-                                     std::size_t max_connections)
+                                     const ClientLimits &limits)
     : transport_(transport), events_(events), connection_ids_(connection_ids),
-      parser_(std::move(parser)), max_connections_(std::max<std::size_t>(max_connections, 1)) {}
+      parser_(std::move(parser)), limits_(limits) {
+    limits_.max_connections = std::max<std::size_t>(limits.max_connections, 1);
+}
 
 std::optional<ConnectionId> ClientConnections::connected(Time now) {
-    if (clients_.size() >= max_connections_)
+    if (clients_.size() >= limits_.max_connections)
         evict_one(now);
     // Every connection has a request in flight. One more connection would use a descriptor that is
     // reserved for nodes and discovery.
-    if (clients_.size() >= max_connections_)
+    if (clients_.size() >= limits_.max_connections)
         return std::nullopt;
     ConnectionId id = connection_ids_.next();
     Client &client = clients_.try_emplace(id).first->second;
     client.idle_since = now;
+    client.received_at = now;
     set_timeout(id, client, now + first_byte_timeout);
     return id;
 }
@@ -111,7 +94,7 @@
     Time idle = now - client.idle_since;
     if (!client.has_sent_bytes)
         return idle >= typical_first_byte_time ? 0 : 4;
-    if (client.decoder.state() != http::MessageState::empty)
+    if (client.decoder.state() != http::MessageState::empty || !client.pipelined.empty())
         return 2;
     return idle >= min_idle_time ? 1 : 3;
 }
@@ -126,8 +109,10 @@
             lowest_rank = rank;
         }
     }
-    if (lowest != clients_.end())
-        close(lowest->first);
+    if (lowest == clients_.end())
+        return;
+    ++counts_.evicted;
+    close(lowest->first);
 }
 
 void ClientConnections::set_timeout(ConnectionId id, Client &client, Time timeout_at) {
@@ -143,6 +128,7 @@
     timeouts_.erase({it->second.timeout_at, id});
     if (it->second.half_closed)
         --half_closed_count_;
+    memory_bytes_ -= it->second.counted_memory;
     clients_.erase(it);
     return in_flight;
 }
@@ -156,8 +142,12 @@
     client.half_closed = true;
     ++half_closed_count_;
     client.request_in_flight = false;
+    client.open_request_bytes = 0;
     client.pipelined.clear();
-    client.pipelined_bytes = 0;
+    client.decoder.start_next();
+    count_memory(client);
+    // The client's close shows only if the connection is read.
+    set_reading_paused(id, client, false);
     set_timeout(id, client, now + (client.unsent_bytes > 0 ? last_response_timeout : linger_time));
     transport_.finish_sending(id);
 }
@@ -174,6 +164,7 @@
         return;
     Client &client = it->second;
     client.has_sent_bytes = true;
+    client.received_at = now;
     if (client.half_closed) {
         // The client sent a request before it noticed that this side is closed. It isn't accepted;
         // the client sends it to another gateway.
@@ -184,20 +175,20 @@
     }
     if (client.ignores_input)
         return;
-    if (!client.request_in_flight && client.pipelined.empty())
-        return process_bytes(now, now, id, bytes);
-    if (client.pipelined_bytes + bytes.size() > max_pipelined_bytes) {
-        client.ignores_input = true;
-        return;
-    }
-    client.pipelined.push_back({now, std::string(bytes)});
-    client.pipelined_bytes += bytes.size();
+    if (client.request_in_flight || !client.pipelined.empty())
+        keep_pipelined(client, now, bytes);
+    else
+        process_bytes(now, now, id, bytes);
+    input_processed(id);
+    limit_memory(now);
 }
 
 void ClientConnections::process_bytes(Time now, Time received_at, ConnectionId id,
                                       std::string_view bytes) {
     while (!bytes.empty()) {
         Client &client = clients_.at(id);
+        if (client.request_in_flight || !may_handle_message(client))
+            return put_back(client, received_at, bytes);
         http::Decoder &decoder = client.decoder;
         if (decoder.state() == http::MessageState::empty)
             set_timeout(id, client,
@@ -214,40 +205,171 @@
             return;
         }
 
+        ++client.messages_in_turn;
         handle_message(now, received_at, id, client);
         auto it = clients_.find(id);
         if (it == clients_.end() || it->second.half_closed)
             return;
-        if (it->second.request_in_flight)
-            return keep_pipelined(it->second, received_at, bytes);
     }
 }
 
-void ClientConnections::keep_pipelined(Client &client, Time received_at, std::string_view bytes) {
-    client.ignores_input |= bytes.size() > max_pipelined_bytes;
-    bytes = bytes.substr(0, max_pipelined_bytes);
-    if (bytes.empty())
+bool ClientConnections::may_handle_message(Client &client) const {
+    if (client.turn != turn_) {
+        client.turn = turn_;
+        client.messages_in_turn = 0;
+    }
+    return client.messages_in_turn < max_messages_per_turn &&
+           client.unsent_bytes <= max_unsent_bytes;
+}
+
+void ClientConnections::input_processed(ConnectionId id) {
+    auto it = clients_.find(id);
+    if (it == clients_.end() || it->second.half_closed)
+        return;
+    Client &client = it->second;
+    count_memory(client);
+    bool waits = !client.request_in_flight && !client.pipelined.empty();
+    // Sending resumes at the next turn, or once the client has read enough.
+    if (waits && client.unsent_bytes <= max_unsent_bytes)
+        waiting_for_turn_.insert(id);
+    set_reading_paused(id, client, waits);
+}
+
+void ClientConnections::set_reading_paused(ConnectionId id, Client &client, bool paused) {
+    if (client.reading_paused == paused)
         return;
-    client.pipelined.push_front({received_at, std::string(bytes)});
-    client.pipelined_bytes += bytes.size();
+    client.reading_paused = paused;
+    transport_.set_reading_paused(id, paused);
+}
+
+void ClientConnections::keep_pipelined(Client &client, Time received_at,
+                                       std::string_view bytes) const {
+    if (client.pipelined.size() + bytes.size() > max_pipelined_bytes ||
+        memory_bytes_ + bytes.size() > limits_.max_memory_bytes) {
+        client.ignores_input = true;
+        return;
+    }
+    client.pipelined.append(received_at, bytes);
+}
+
+void ClientConnections::put_back(Client &client, Time received_at, std::string_view bytes) {
+    // While no request is in flight all bytes are kept and no more are read.
+    if (client.request_in_flight) {
+        client.ignores_input |= bytes.size() > max_pipelined_bytes;
+        bytes = bytes.substr(0, max_pipelined_bytes);
+    }
+    client.pipelined.prepend(received_at, bytes);
+}
+
+void ClientConnections::count_memory(Client &client) {
+    std::size_t bytes = client.decoder.memory_bytes() + client.pipelined.size() +
+                        client.unsent_bytes + client.open_request_bytes;
+    memory_bytes_ += bytes - client.counted_memory;
+    client.counted_memory = bytes;
+}
+
+void ClientConnections::limit_memory(Time now) {
+    refuse_stalled_requests(now);
+    while (memory_bytes_ > limits_.max_memory_bytes) {
+        auto unread = unread_response(now);
+        if (!unread)
+            return;
+        ++counts_.closed_for_memory;
+        close_unread(now, *unread);
+    }
+}
+
+void ClientConnections::refuse_stalled_requests(Time now) {
+    while (memory_bytes_ > limits_.max_memory_bytes) {
+        auto unfinished = stalled_request(now);
+        if (!unfinished)
+            return;
+        refuse_unfinished(now, *unfinished);
+    }
+}
+
+bool ClientConnections::within_even_share(const Client &client) const {
+    return client.counted_memory <= limits_.max_memory_bytes / limits_.max_connections;
+}
+
+std::optional<ConnectionId> ClientConnections::stalled_request(Time now) const {
+    std::optional<ConnectionId> worst;
+    double worst_cost = 0;
+    for (const auto &[id, client] : clients_) {
+        auto state = client.decoder.state();
+        bool unfinished = state == http::MessageState::head || state == http::MessageState::body;
+        if (!unfinished || client.half_closed || within_even_share(client))
+            continue;
+        // Memory times the time for which it has been of no use. A client that is still sending
+        // has some, too, so that one can always be chosen.
+        double cost =
+            static_cast<double>(client.counted_memory) * seconds(now - client.received_at + ms);
+        if (cost > worst_cost) {
+            worst = id;
+            worst_cost = cost;
+        }
+    }
+    return worst;
+}
+
+std::optional<ConnectionId> ClientConnections::unread_response(Time now) const {
+    std::optional<ConnectionId> longest;
+    Time since = now - min_unread_time;
+    for (const auto &[id, client] : clients_) {
+        if (client.unsent_bytes == 0 || client.written_at > since)
+            continue;
+        longest = id;
+        since = client.written_at;
+    }
+    return longest;
+}
+
+void ClientConnections::close_unread(Time now, ConnectionId id) {
+    bool in_flight = erase(id);
+    transport_.close(id);
+    if (in_flight)
+        events_.request_canceled(now, id);
 }
 
 void ClientConnections::handle_message(Time now, Time received_at, ConnectionId id,
                                        Client &client) {
     client.close_after_response = !client.decoder.keep_alive();
+    if (!has_memory_for(now, client))
+        return refuse_for_memory(now, id);
     ParsedRequest parsed = parser_.parse(client.decoder);
-    if (std::holds_alternative<HealthCheck>(parsed))
-        return send(now, id, events_.serving() ? 200 : 503, "", "");
+    if (std::holds_alternative<HealthCheck>(parsed)) {
+        ++counts_.health_checks;
+        return send(now, id, {events_.serving() ? 200U : 503U, "", ""});
+    }
     if (auto *error = std::get_if<RequestError>(&parsed))
         return send_error(now, id, *error);
 
     auto &request = std::get<ClientRequest>(parsed);
     request.info.client_timeout += received_at;
     client.request_in_flight = true;
+    client.open_request_bytes = request.outbound->body.size();
     set_timeout(id, client, never);
     events_.request_received(now, id, request.info, std::move(request.outbound));
 }
 
+bool ClientConnections::has_memory_for(Time now, Client &client) {
+    count_memory(client);
+    if (within_even_share(client))
+        return true;
+    refuse_stalled_requests(now);
+    return memory_bytes_ <= limits_.max_memory_bytes;
+}
+
+void ClientConnections::refuse_for_memory(Time now, ConnectionId id) {
+    ++counts_.refused_for_memory;
+    send(now, id, {503, "", ""});
+}
+
+void ClientConnections::refuse_unfinished(Time now, ConnectionId id) {
+    clients_.at(id).close_after_response = true;
+    refuse_for_memory(now, id);
+}
+
 void ClientConnections::disconnected(Time now, ConnectionId id) {
     if (!clients_.contains(id))
         return;
@@ -255,27 +377,28 @@
         events_.request_canceled(now, id);
 }
 
-void ClientConnections::send(Time now, ConnectionId id, unsigned status, const std::string &headers,
-                             const std::string &body) {
+void ClientConnections::send(Time now, ConnectionId id, ClientResponse response) {
     auto it = clients_.find(id);
     if (it == clients_.end() || it->second.half_closed)
         return;
     Client &client = it->second;
-    bool last = client.close_after_response ||
-                (client.pipelined.empty() && (close_after_responses_ || client.ignores_input));
-    std::string message = "HTTP/1.1 " + std::to_string(status) + " " + reason_phrase(status) +
-                          "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
-                          "\r\n" + (last ? "Connection: close\r\n" : "") + "\r\n";
-    message += body;
+    response.closes_connection =
+        client.close_after_response ||
+        (client.pipelined.empty() && (close_after_responses_ || client.ignores_input));
+    std::string message = encode(response);
+    if (client.unsent_bytes == 0)
+        client.written_at = now;
     client.unsent_bytes += message.size();
     transport_.send(id, std::move(message));
-    if (last)
+    if (response.closes_connection)
         return finish_sending(now, id, client);
 
     client.request_in_flight = false;
+    client.open_request_bytes = 0;
     client.has_been_answered = true;
     client.idle_since = now;
     client.decoder.start_next();
+    count_memory(client);
     set_timeout(id, client, now + idle_timeout);
     if (!client.pipelined.empty())
         answered_with_pipelined_.insert(id);
@@ -286,46 +409,57 @@
     if (it == clients_.end())
         return;
     Client &client = it->second;
+    client.written_at = now;
     client.unsent_bytes -= std::min(bytes, client.unsent_bytes);
+    count_memory(client);
     if (client.half_closed && client.unsent_bytes == 0)
         set_timeout(id, client, now + linger_time);
+    else
+        input_processed(id);
+}
+
+void ClientConnections::begin_turn() {
+    ++turn_;
+    answered_with_pipelined_.merge(waiting_for_turn_);
+    waiting_for_turn_.clear();
 }
 
 void ClientConnections::process_pipelined(Time now) {
     for (auto id : std::exchange(answered_with_pipelined_, {})) {
         auto it = clients_.find(id);
         while (it != clients_.end() && !it->second.request_in_flight &&
-               !it->second.pipelined.empty()) {
-            auto pipelined = std::move(it->second.pipelined.front());
-            it->second.pipelined.pop_front();
-            it->second.pipelined_bytes -= pipelined.bytes.size();
+               !it->second.pipelined.empty() && may_handle_message(it->second)) {
+            auto pipelined = it->second.pipelined.take_first();
             process_bytes(now, pipelined.received_at, id, pipelined.bytes);
             it = clients_.find(id);
         }
+        input_processed(id);
     }
+    limit_memory(now);
 }
 
 void ClientConnections::send_error(Time now, ConnectionId id, const RequestError &error) {
+    ++counts_.invalid;
     clients_.at(id).close_after_response = true;
     if (transport_.tracing())
         transport_.trace(
             TraceLine("refused").field("status", error.status).field("why", error.reason).text());
-    send(now, id, error.status, "Content-Type: text/plain\r\n", std::string(error.reason) + "\n");
+    send(now, id, {error.status, "Content-Type: text/plain\r\n", std::string(error.reason) + "\n"});
 }
 
 void ClientConnections::respond(Time now, ConnectionId id, const std::string &body) {
-    send(now, id, 200, "", body);
+    send(now, id, {200, "", body});
 }
 
 void ClientConnections::reject(Time now, ConnectionId id, Time retry_after) {
     char header[64] = "";
     if (retry_after > 0)
         std::snprintf(header, sizeof header, "Retry-After: %.3f\r\n", seconds(retry_after));
-    send(now, id, 503, header, "");
+    send(now, id, {503, header, ""});
 }
 
 void ClientConnections::fail(Time now, ConnectionId id) {
-    send(now, id, 502, "", "");
+    send(now, id, {502, "", ""});
 }
 
 void ClientConnections::handle_timeouts(Time now) {
--- a/src/http_gateway/client_connections.hpp
+++ b/src/http_gateway/client_connections.hpp
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <limits>
 #include <map>
 #include <memory>
@@ -17,7 +16,9 @@
 
 #include "common/time.hpp"
 #include "http/decoder.hpp"
+#include "http_gateway/client_response.hpp"
 #include "http_gateway/outbound_request.hpp"
+#include "http_gateway/pipelined_input.hpp"
 #include "http_gateway/request_parser.hpp"
 #include "http_gateway/transport.hpp"
 #include "scheduling/events.hpp"
@@ -43,6 +44,27 @@
     virtual bool serving() const = 0;
 };
 
+/// What all clients together may use.
+struct ClientLimits {
+    /// The most connections open at a time; at least 1.
+    std::size_t max_connections = 1;
+    /// The most memory for what clients have sent and not yet read, in bytes.
+    std::size_t max_memory_bytes = std::numeric_limits<std::size_t>::max();
+};
+
+/// What clients got without a request of theirs being scheduled, since the start.
+struct ClientCounts {
+    std::uint64_t health_checks = 0;
+    /// Messages that were answered with an error.
+    std::uint64_t invalid = 0;
+    /// Connections closed to make room for others.
+    std::uint64_t evicted = 0;
+    /// Requests answered with 503 because the memory for clients was used up.
+    std::uint64_t refused_for_memory = 0;
+    /// Connections closed because the memory was used up and their client didn't read.
+    std::uint64_t closed_for_memory = 0;
+};
+
 /// The connections that clients have opened. Reads requests, one at a time on each connection, and
 /// sends one response to each. An invalid message is answered with an error at once and its
 /// connection is closed. Limits the connections, memory and time that clients can use.
@@ -50,10 +72,9 @@
 public:
     /// @param transport, events, connection_ids must outlive this object.
     /// @param parser turns complete messages into requests.
-    /// @param max_connections the most connections open at a time; at least 1.
     ClientConnections(Transport &transport, ClientRequestEvents &events,
                       ConnectionIds &connection_ids, RequestParser parser,
-                      std::size_t max_connections);
+                      const ClientLimits &limits);
 
     bool owns(ConnectionId id) const { return clients_.contains(id); }
 
@@ -83,15 +104,24 @@
     /// Half-closes every connection without a request. Bytes that it receives later are discarded.
     void close_idle(Time now);
 
+    /// Begins a turn, in which only so many messages of each connection are handled: one that
+    /// sends without a pause must not delay the others.
+    void begin_turn();
     /// Parses the pipelined bytes of connections whose request has been answered in the meantime.
     /// Must not be called from within a call of the scheduler, as it passes new requests to it.
     void process_pipelined(Time now);
+    /// Whether process_pipelined has something to do in this turn.
     bool has_pipelined() const { return !answered_with_pipelined_.empty(); }
+    /// Whether it has something to do in the next turn.
+    bool waits_for_turn() const { return !waiting_for_turn_.empty(); }
 
     /// The number of connections that aren't half-closed.
     std::size_t open_count() const { return clients_.size() - half_closed_count_; }
     /// The number of all connections.
     std::size_t count() const { return clients_.size(); }
+    /// The memory that is used for what clients have sent and not yet read, in bytes.
+    std::size_t memory_bytes() const { return memory_bytes_; }
+    const ClientCounts &counts() const { return counts_; }
 
     /// When handle_timeouts must be called next; the largest Time if no timeout is pending.
     Time next_due() const {
@@ -106,12 +136,6 @@
     static constexpr std::size_t max_head_bytes = 8 << 10;
     static constexpr std::size_t max_body_bytes = 64 << 10;
 
-    /// Bytes that were received while an earlier request was in flight.
-    struct PipelinedBytes {
-        Time received_at;
-        std::string bytes;
-    };
-
     /// The state of a connection.
     struct Client {
         http::Decoder decoder{http::MessageKind::request, max_head_bytes, max_body_bytes};
@@ -132,9 +156,20 @@
         std::size_t unsent_bytes = 0;
         /// Bytes received since the connection was half-closed.
         std::size_t discarded_bytes = 0;
-        std::deque<PipelinedBytes> pipelined;
-        /// The number of bytes in `pipelined`.
-        std::size_t pipelined_bytes = 0;
+        /// The body's size of the request in flight.
+        std::size_t open_request_bytes = 0;
+        /// Bytes behind the request in flight, or those that wait for the next turn.
+        PipelinedInput pipelined;
+        bool reading_paused = false;
+        /// When bytes were received last.
+        Time received_at = 0;
+        /// When bytes of a response were written last, or the first ones began to wait.
+        Time written_at = 0;
+        /// Its part of memory_bytes_.
+        std::size_t counted_memory = 0;
+        /// The turn in which a message was handled last, and how many were in it.
+        std::uint64_t turn = 0;
+        int messages_in_turn = 0;
     };
 
     /// Parses bytes and handles the messages that they complete, until a request is in flight.
@@ -143,11 +178,39 @@
     void process_bytes(Time now, Time received_at, ConnectionId id, std::string_view bytes);
     /// Handles the complete message in the client's decoder: a request, health check or error.
     void handle_message(Time now, Time received_at, ConnectionId id, Client &client);
-    /// Puts bytes that aren't parsed yet back in front of the pipelined ones, up to the limit.
-    void keep_pipelined(Client &client, Time received_at, std::string_view bytes);
-
-    void send(Time now, ConnectionId id, unsigned status, const std::string &headers,
-              const std::string &body);
+    /// Refuses the request if there is no memory for its body.
+    bool has_memory_for(Time now, Client &client);
+    void refuse_for_memory(Time now, ConnectionId id);
+    /// Refuses a request that isn't complete, and closes its connection.
+    void refuse_unfinished(Time now, ConnectionId id);
+    /// Whether the client's next message may be handled in this turn.
+    bool may_handle_message(Client &client) const;
+    /// Counts the memory that the client's input occupies, and pauses reading until what waits is
+    /// handled.
+    void input_processed(ConnectionId id);
+    void set_reading_paused(ConnectionId id, Client &client, bool paused);
+    /// Keeps bytes that arrive while others wait, up to the limits.
+    void keep_pipelined(Client &client, Time received_at, std::string_view bytes) const;
+    /// Puts bytes that aren't parsed yet back in front of the pipelined ones.
+    static void put_back(Client &client, Time received_at, std::string_view bytes);
+
+    /// Updates the client's part of the memory in use.
+    void count_memory(Client &client);
+    /// Refuses unfinished requests, then closes connections whose client doesn't read, until the
+    /// memory in use is within its limit. A request in flight is left alone, unless its client
+    /// doesn't read.
+    void limit_memory(Time now);
+    void refuse_stalled_requests(Time now);
+    /// Whether the client uses no more memory than each could if all connections were open. It is
+    /// left alone, however much the others use.
+    bool within_even_share(const Client &client) const;
+    /// Returns the unfinished request to refuse first, if any uses more than its even share.
+    std::optional<ConnectionId> stalled_request(Time now) const;
+    /// Returns the connection whose response has waited longest for its client to read it.
+    std::optional<ConnectionId> unread_response(Time now) const;
+    void close_unread(Time now, ConnectionId id);
+
+    void send(Time now, ConnectionId id, ClientResponse response);
     void send_error(Time now, ConnectionId id, const RequestError &error);
 
     void set_timeout(ConnectionId id, Client &client, Time timeout_at);
@@ -165,13 +228,18 @@
     ClientRequestEvents &events_;
     ConnectionIds &connection_ids_;
     RequestParser parser_;
-    std::size_t max_connections_;
+    ClientLimits limits_;
+    ClientCounts counts_;
+    std::size_t memory_bytes_ = 0;
     std::size_t half_closed_count_ = 0;
     std::map<ConnectionId, Client> clients_;
     /// Pending timeouts, the next one first.
     std::set<std::pair<Time, ConnectionId>> timeouts_;
     /// Connections whose request was answered and that have pipelined bytes to parse.
     std::set<ConnectionId> answered_with_pipelined_;
+    /// Connections that have pipelined bytes to parse in the next turn.
+    std::set<ConnectionId> waiting_for_turn_;
+    std::uint64_t turn_ = 0;
     bool keep_idle_ = false;
     bool close_after_responses_ = false;
 };
--- a/src/http_gateway/config.cpp
+++ b/src/http_gateway/config.cpp
@@ -4,9 +4,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include "http_gateway/host.hpp"
+
 namespace knotvane::http_gateway {
 namespace {
 
+// A limit beyond this is a mistake in the configuration.
+constexpr int max_memory_megabytes = 1'000'000;
+
 using nlohmann::json;
 using scheduler_setup::MalformedInput;
 
@@ -87,6 +92,7 @@
     discovery_address();
     seed();
     max_sockets();
+    max_memory();
     settings();
 }
 
@@ -127,6 +133,18 @@
     return it->get<std::size_t>();
 }
 
+std::size_t Config::max_memory() const {
+    constexpr double bytes_per_megabyte = 1e6;
+    const json &limits = document_->root["limits"];
+    auto it = limits.find("memory_mb");
+    if (it == limits.end())
+        return smallest_host_memory;
+    if (!it->is_number() || !(it->get<double>() > 0) || it->get<double>() > max_memory_megabytes)
+        throw MalformedInput("limits.memory_mb: expected a number above 0 and up to " +
+                             std::to_string(max_memory_megabytes));
+    return static_cast<std::size_t>(it->get<double>() * bytes_per_megabyte);
+}
+
 std::string Config::known_endpoints() const {
     auto it = document_->root.find("known");
     return it == document_->root.end() || it->is_null() ? std::string() : it->dump();
--- a/src/http_gateway/config.hpp
+++ b/src/http_gateway/config.hpp
@@ -36,6 +36,9 @@
     std::uint64_t seed() const;
     /// The most descriptors that the process may have open.
     std::size_t max_sockets() const;
+    /// The memory in bytes over which the process is ended; that of the platform's smallest host if
+    /// the configuration names none.
+    std::size_t max_memory() const;
     /// The endpoint list that was last known, as JSON in discovery's format; empty if there is
     /// none.
     std::string known_endpoints() const;
--- a/src/http_gateway/core.cpp
+++ b/src/http_gateway/core.cpp
@@ -20,6 +20,11 @@
 // their number isn't bounded, while the scheduler's window keeps the number of attempts low.
 constexpr std::size_t node_socket_divisor = 3;
 
+// What clients have sent and not yet read may use one part in this many of the memory. The rest is
+// for the program itself, the endpoint list and what nodes respond, and for what the allocator
+// can't use again at once.
+constexpr std::size_t client_memory_divisor = 8;
+
 std::size_t max_node_connections(std::size_t max_sockets) {
     return (max_sockets - reserved_sockets / 2) / node_socket_divisor;
 }
@@ -64,7 +69,8 @@
            const CoreConfig &config)
     : transport_(transport), clients_(transport, *this, connection_ids_,
                                       RequestParser(config.workloads, config.plans, trace_ids_),
-                                      max_client_connections(config.max_sockets)),
+                                      {max_client_connections(config.max_sockets),
+                                       config.max_memory / client_memory_divisor}),
       pool_(transport, *this, connection_ids_, pool_options(config)),
       discovery_(transport, *this, connection_ids_, config.zones,
                  {config.settings.text("RegistryMode") == "on_request", config.seed}),
@@ -132,6 +138,7 @@
     now_ = now;
     if (transport_.tracing())
         trace_counts(now);
+    clients_.begin_turn();
     clients_.handle_timeouts(now);
     pool_.handle_timeouts(now);
     discovery_.handle_timeouts(now);
@@ -196,7 +203,7 @@
 }
 
 Time Core::next_due() const {
-    if (!completed_attempts_.empty() || clients_.has_pipelined())
+    if (!completed_attempts_.empty() || clients_.has_pipelined() || clients_.waits_for_turn())
         return now_;
     Time due = std::min(
         {clients_.next_due(), pool_.next_due(), discovery_.next_due(), shutdown_.next_due(now_)});
--- a/src/http_gateway/core.hpp
+++ b/src/http_gateway/core.hpp
@@ -19,6 +19,7 @@
 #include "http_gateway/connection_pool.hpp"
 #include "http_gateway/discovery.hpp"
 #include "http_gateway/graceful_shutdown.hpp"
+#include "http_gateway/host.hpp"
 #include "http_gateway/trace_id_history.hpp"
 #include "http_gateway/transport.hpp"
 #include "scheduler_setup/options.hpp"
@@ -38,6 +39,8 @@
     std::uint64_t seed = 0;
     /// The most descriptors that the process may have open.
     std::size_t max_sockets = 0;
+    /// The memory in bytes over which the process is ended.
+    std::size_t max_memory = smallest_host_memory;
 };
 
 /// How many requests were received, and how they ended.
--- a/src/http_gateway/server.cpp
+++ b/src/http_gateway/server.cpp
@@ -11,12 +11,14 @@
 
 CoreConfig core_config(const Config &config) {
     return {config.settings(),     config.names("Classes"), config.names("Contracts"),
-            config.names("Zones"), config.seed(),           config.max_sockets()};
+            config.names("Zones"), config.seed(),           config.max_sockets(),
+            config.max_memory()};
 }
 
+constexpr std::size_t bytes_per_kib = 1024;
+
 /// Returns the process's resident memory in KiB; a dash if the system doesn't tell.
 std::string resident_kib() {
-    constexpr std::size_t bytes_per_kib = 1024;
     std::size_t bytes = 0;
     return uv_resident_set_memory(&bytes) == 0 ? std::to_string(bytes / bytes_per_kib) : "-";
 }
@@ -94,6 +96,11 @@
         socket->finish_sending();
 }
 
+void Server::set_reading_paused(ConnectionId connection, bool paused) {
+    if (auto socket = sockets_.find(connection))
+        socket->set_reading_paused(paused);
+}
+
 bool Server::peer_closed(ConnectionId connection) const {
     auto socket = sockets_.find(connection);
     return !socket || socket->peer_closed();
@@ -137,20 +144,28 @@
     status_logged_at_ = now;
     status_list_count_ = list_count;
     const RequestCounts &counts = core_->request_counts();
-    log::write(log::info, "status",
-               {{"memory_kib", resident_kib()},
-                {"list_generation", std::to_string(core_->discovery().generation())},
-                {"nodes_listed", std::to_string(core_->listed_node_count())},
-                {"nodes_kept", std::to_string(core_->scheduler().node_count())},
-                {"clients", std::to_string(core_->clients().count())},
-                {"node_connections", std::to_string(core_->pool().connection_count())},
-                {"attempts_in_flight", std::to_string(core_->pool().attempts_in_flight())},
-                {"requests_open", std::to_string(core_->request_count())},
-                {"received", std::to_string(counts.received)},
-                {"answered", std::to_string(counts.answered)},
-                {"rejected", std::to_string(counts.rejected)},
-                {"failed", std::to_string(counts.failed)},
-                {"canceled", std::to_string(counts.canceled)}});
+    const ClientCounts &clients = core_->clients().counts();
+    log::write(
+        log::info, "status",
+        {{"memory_kib", resident_kib()},
+         {"list_generation", std::to_string(core_->discovery().generation())},
+         {"nodes_listed", std::to_string(core_->listed_node_count())},
+         {"nodes_kept", std::to_string(core_->scheduler().node_count())},
+         {"clients", std::to_string(core_->clients().count())},
+         {"client_memory_kib", std::to_string(core_->clients().memory_bytes() / bytes_per_kib)},
+         {"node_connections", std::to_string(core_->pool().connection_count())},
+         {"attempts_in_flight", std::to_string(core_->pool().attempts_in_flight())},
+         {"requests_open", std::to_string(core_->request_count())},
+         {"received", std::to_string(counts.received)},
+         {"answered", std::to_string(counts.answered)},
+         {"rejected", std::to_string(counts.rejected)},
+         {"failed", std::to_string(counts.failed)},
+         {"canceled", std::to_string(counts.canceled)},
+         {"health_checks", std::to_string(clients.health_checks)},
+         {"invalid", std::to_string(clients.invalid)},
+         {"evicted", std::to_string(clients.evicted)},
+         {"refused_for_memory", std::to_string(clients.refused_for_memory)},
+         {"closed_for_memory", std::to_string(clients.closed_for_memory)}});
 }
 
 Time Server::end_moment() {
--- a/src/http_gateway/server.hpp
+++ b/src/http_gateway/server.hpp
@@ -51,6 +51,7 @@
     }
     void close(ConnectionId connection) override;
     void finish_sending(ConnectionId connection) override;
+    void set_reading_paused(ConnectionId connection, bool paused) override;
     bool peer_closed(ConnectionId connection) const override;
     void log_event(const std::string &text) override;
     void trace(const std::string &line) override;
--- a/src/http_gateway/transport.hpp
+++ b/src/http_gateway/transport.hpp
@@ -36,6 +36,9 @@
     /// side's close are still reported to the core.
     virtual void finish_sending(ConnectionId connection) = 0;
 
+    /// Pauses or resumes reading from a connection. While paused, its bytes stay in the kernel.
+    virtual void set_reading_paused(ConnectionId connection, bool paused) = 0;
+
     /// Whether the other side has closed the connection or its sending side, even if that isn't
     /// reported to the core yet, as bytes before it are still to be read.
     virtual bool peer_closed(ConnectionId connection) const = 0;
--- a/tests/http_gateway/client_limits_test.cpp
+++ b/tests/http_gateway/client_limits_test.cpp
@@ -3,11 +3,180 @@
 
 #include <string>
 
+#include "http_gateway/pipelined_input.hpp"
+
 #include "helpers.hpp"
 
 using namespace knotvane;
 using namespace knotvane::http_gateway;
 
+namespace {
+
+const std::string health_check = "GET /healthz HTTP/1.1\r\n\r\n";
+
+/// Returns so many health checks in a row.
+std::string health_checks(int count) {
+    std::string checks;
+    for (int i = 0; i < count; ++i)
+        checks += health_check;
+    return checks;
+}
+
+int count_of(const std::string &text, const std::string &part) {
+    int count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+/// A gateway on a host on which clients may use 125 kB of memory.
+struct SmallGateway : TestGateway {
+    SmallGateway() : TestGateway("", settings_text(), {256, 1'000'000}) {}
+
+    /// Connects a client that sends the first part of a write and stops.
+    ConnectionId connect_stalled(const std::string &trace_id, std::size_t sent_body_bytes) {
+        const std::string whole = write_request(trace_id, std::string(60'000, 'w'));
+        return connect_client(whole.substr(0, whole.size() - 60'000 + sent_body_bytes));
+    }
+};
+
+} // namespace
+
+TEST_SUITE("a client that sends without a pause") {
+    // Guards against late answers to other clients (issue 48): all that one read had brought was
+    // handled before anything else.
+    TEST_CASE("its messages are handled a few at a time, beside those of other clients, and all of "
+              "them are") {
+        constexpr int count = 5000;
+        TestGateway gateway;
+        auto flooder = *gateway.core.client_connected(gateway.now);
+        auto other = *gateway.core.client_connected(gateway.now);
+        gateway.core.received(gateway.now, flooder, health_checks(count));
+        gateway.core.received(gateway.now, other, read_request("t1"));
+        gateway.core.settle(gateway.now);
+        CHECK(gateway.transport.connection_to("n1").value != 0);
+        CHECK(count_of(gateway.transport.sent[flooder], " 200 ") < count / 10);
+        CHECK(gateway.transport.paused_reading.contains(flooder));
+        CHECK(gateway.core.next_due() == gateway.now);
+        for (int turn = 0; turn < count; ++turn)
+            gateway.settle();
+        CHECK(count_of(gateway.transport.sent[flooder], " 200 ") == count);
+        CHECK(!gateway.transport.paused_reading.contains(flooder));
+        CHECK(!gateway.transport.closed.contains(flooder));
+    }
+    // Guards against memory that grows as long as a client sends and doesn't read (issue 48).
+    TEST_CASE("while it doesn't read its responses it gets no more of them, and then the rest") {
+        constexpr int count = 5000;
+        constexpr std::size_t allowed_bytes = 100'000;
+        TestGateway gateway;
+        auto flooder = *gateway.core.client_connected(gateway.now);
+        gateway.core.received(gateway.now, flooder, health_checks(count));
+        // The transport reports nothing as written.
+        for (int turn = 0; turn < count; ++turn)
+            gateway.core.settle(gateway.now);
+        CHECK(gateway.transport.sent[flooder].size() < allowed_bytes);
+        CHECK(gateway.transport.paused_reading.contains(flooder));
+        CHECK(gateway.core.next_due() > gateway.now);
+        for (int turn = 0; turn < count; ++turn)
+            gateway.settle();
+        CHECK(count_of(gateway.transport.sent[flooder], " 200 ") == count);
+        CHECK(!gateway.transport.paused_reading.contains(flooder));
+    }
+    TEST_CASE("a request among its messages is read on behind, so that a disconnect is noticed") {
+        TestGateway gateway;
+        auto flooder = *gateway.core.client_connected(gateway.now);
+        gateway.core.received(gateway.now, flooder, health_checks(100) + read_request("t1"));
+        CHECK(gateway.transport.paused_reading.contains(flooder));
+        for (int turn = 0; turn < 10; ++turn)
+            gateway.settle();
+        CHECK(gateway.core.request_count() == 1);
+        CHECK(!gateway.transport.paused_reading.contains(flooder));
+        gateway.disconnect(flooder);
+        CHECK(gateway.core.request_count() == 0);
+    }
+}
+
+TEST_SUITE("memory for clients") {
+    // Guards against a process over its memory limit beside clients that never finish (issue 48).
+    TEST_CASE("unfinished requests that make no progress are refused; one that does is served") {
+        SmallGateway gateway;
+        std::vector<ConnectionId> stalled;
+        for (int i = 0; i < 3; ++i)
+            stalled.push_back(gateway.connect_stalled("s" + std::to_string(i), 30'000));
+        gateway.settle(200 * ms);
+        const std::string whole = write_request("t1", std::string(60'000, 'w'));
+        auto client = gateway.connect_client(whole.substr(0, 30'000));
+        gateway.settle(100 * ms);
+        gateway.core.received(gateway.now, client, whole.substr(30'000));
+        gateway.settle();
+        CHECK(gateway.core.clients().memory_bytes() <= 125'000);
+        CHECK(gateway.core.request_count() == 1);
+        CHECK(!gateway.transport.closed.contains(client));
+        int refused = 0;
+        for (auto id : stalled) {
+            bool got_503 = gateway.transport.sent[id].starts_with("HTTP/1.1 503 ");
+            CHECK(got_503 == gateway.transport.half_closed.contains(id));
+            refused += got_503 ? 1 : 0;
+        }
+        CHECK(refused > 0);
+        CHECK(gateway.core.clients().counts().refused_for_memory ==
+              static_cast<std::uint64_t>(refused));
+    }
+    TEST_CASE("while requests in flight use it up, a further body is refused, a read is not") {
+        SmallGateway gateway;
+        for (int i = 0; i < 2; ++i)
+            gateway.connect_client(
+                write_request("w" + std::to_string(i), std::string(60'000, 'w')));
+        REQUIRE(gateway.core.request_count() == 2);
+        auto writer = gateway.connect_client(write_request("w2", std::string(60'000, 'w')));
+        CHECK(gateway.transport.sent[writer].starts_with("HTTP/1.1 503 "));
+        CHECK(gateway.core.request_count() == 2);
+        gateway.connect_client(read_request("r1"));
+        CHECK(gateway.core.request_count() == 3);
+        // Its trace id is not used up.
+        gateway.settle(2 * sec);
+        gateway.send_heartbeat();
+        REQUIRE(gateway.core.request_count() == 0);
+        gateway.connect_client(write_request("w2", std::string(60'000, 'w')));
+        CHECK(gateway.core.request_count() == 1);
+    }
+    TEST_CASE("a client that doesn't read its response loses it after half a second, if memory is "
+              "used up") {
+        for (bool needed : {false, true}) {
+            SmallGateway gateway;
+            auto client = gateway.connect_client(read_request("t1"));
+            gateway.connect_node();
+            gateway.now += 5 * ms;
+            gateway.core.received(gateway.now, gateway.transport.last_request_connection,
+                                  http_response(200, std::string(needed ? 200'000 : 100'000, 'b')));
+            // The transport reports nothing as written.
+            gateway.core.settle(gateway.now);
+            gateway.core.settle(gateway.now + 499 * ms);
+            CHECK(!gateway.transport.closed.contains(client));
+            gateway.core.received(gateway.now + 501 * ms,
+                                  *gateway.core.client_connected(gateway.now + 501 * ms), "GET");
+            CHECK(gateway.transport.closed.contains(client) == needed);
+        }
+    }
+    TEST_CASE("bytes that arrive one by one behind a request take little more than their size") {
+        PipelinedInput input;
+        constexpr int count = 10'000;
+        for (int i = 0; i < count; ++i)
+            input.append(i * ms, "x");
+        CHECK(input.size() == count);
+        std::size_t taken = 0;
+        int pieces = 0;
+        for (; !input.empty(); ++pieces) {
+            auto piece = input.take_first();
+            // It counts as received with its first byte.
+            CHECK(piece.received_at == static_cast<Time>(taken) * ms);
+            taken += piece.bytes.size();
+        }
+        CHECK(taken == count);
+        CHECK(pieces <= count / 5);
+    }
+}
+
 TEST_SUITE("clients that have left") {
     // Guards against requests that are sent on for a client that has left (issue 48): its close was
     // known to the kernel, but still behind unread bytes or other events.
--- a/tests/http_gateway/config_test.cpp
+++ b/tests/http_gateway/config_test.cpp
@@ -27,6 +27,16 @@
         CHECK_THROWS_WITH_AS(Config{invalid}, doctest::Contains(field.c_str()),
                              scheduler_setup::MalformedInput);
     }
+    CHECK(config.max_memory() == 32'000'000);
+    auto with_memory = [&](const std::string &limit) {
+        auto text = valid;
+        return text.replace(text.find("\"sockets\""), 0, "\"memory_mb\":" + limit + ",");
+    };
+    CHECK(Config{with_memory("192")}.max_memory() == 192'000'000);
+    CHECK(Config{with_memory("32.5")}.max_memory() == 32'500'000);
+    for (const char *invalid : {"0", "-1", "\"much\"", "1e300", "null"})
+        CHECK_THROWS_WITH_AS(Config{with_memory(invalid)}, doctest::Contains("memory_mb"),
+                             scheduler_setup::MalformedInput);
     CHECK_THROWS_AS(Config{"[]"}, scheduler_setup::MalformedInput);
     CHECK_THROWS_AS(Config{"{"}, scheduler_setup::MalformedInput);
 }
--- a/tests/http_gateway/helpers.hpp
+++ b/tests/http_gateway/helpers.hpp
@@ -47,6 +47,8 @@
     std::set<ConnectionId> closed;
     /// Those of `closed` that are closed only for sending: the peer's bytes are still received.
     std::set<ConnectionId> half_closed;
+    /// Connections that the core doesn't read for the moment.
+    std::set<ConnectionId> paused_reading;
     /// Connections whose peer has closed them, which is not yet reported to the core.
     std::set<ConnectionId> gone_peers;
     std::vector<std::string> logged_events;
@@ -72,6 +74,9 @@
         closed.insert(id);
         half_closed.insert(id);
     }
+    void set_reading_paused(ConnectionId id, bool paused) override {
+        paused ? (void)paused_reading.insert(id) : (void)paused_reading.erase(id);
+    }
     bool peer_closed(ConnectionId id) const override { return gone_peers.contains(id); }
     void log_event(const std::string &text) override { logged_events.push_back(text); }
     void trace(const std::string &line) override { traced_lines += line + "\n"; }
@@ -131,9 +136,22 @@
            "Rules.WarmAfterS=18\nRules.StartCapacity=0.24\n";
 }
 /// The configuration of the tests' gateways.
-inline CoreConfig core_config(const std::string &settings, std::uint64_t seed = 1) {
-    return {scheduler_setup::Options(settings), {"read", "write"}, {"gold"}, {"a", "b"}, seed, 256};
+inline CoreConfig core_config(const std::string &settings, std::uint64_t seed = 1,
+                              std::size_t max_sockets = 256,
+                              std::size_t max_memory = smallest_host_memory) {
+    return {scheduler_setup::Options(settings),
+            {"read", "write"},
+            {"gold"},
+            {"a", "b"},
+            seed,
+            max_sockets,
+            max_memory};
 }
+/// What the gateway's host offers.
+struct HostLimits {
+    std::size_t max_sockets = 256;
+    std::size_t max_memory = smallest_host_memory;
+};
 /// Returns a node's entry in an endpoint list.
 inline std::string endpoint_json(const std::string &id, const std::string &address, int shard,
                                  const std::string &state = "active") {
@@ -166,10 +184,11 @@
     Core core;
     /// @param extra_settings lines of settings that override those of `base_settings`.
     explicit TestGateway(const std::string &extra_settings = "",
-                         const std::string &base_settings = settings_text())
+                         const std::string &base_settings = settings_text(),
+                         const HostLimits &host = {})
         : core(
               transport, [](SchedulerActions &actions) { return make_scheduler(actions, 7); },
-              core_config(base_settings + extra_settings, 1)) {
+              core_config(base_settings + extra_settings, 1, host.max_sockets, host.max_memory)) {
         core.start(now, endpoint_list_json(41, endpoint_json("s1", "n1", 5)), "d1");
         // With RegistryMode=on_request the first call to discovery starts at a random time within
         // the first second.
--- a/tests/memory/bounded_state_test.cpp
+++ b/tests/memory/bounded_state_test.cpp
@@ -16,6 +16,14 @@
 // The memory limit of the smallest host of the platform.
 constexpr double smallest_host_bytes = 32e6;
 
+// The most descriptors that the platform names, on its smallest host, and as many clients as then
+// may connect.
+constexpr HostLimits most_sockets{1024, smallest_host_memory};
+constexpr int client_count = 650;
+// A third of that host's memory: beside clients it holds the program, the endpoint list and what
+// nodes respond.
+constexpr double memory_for_clients = smallest_host_bytes / 3;
+
 // Less than one small object for each hundred requests.
 constexpr int requests_per_round = 5000;
 constexpr std::size_t allowed_growth = 4096;
@@ -85,6 +93,75 @@
     CHECK(gateway.serve_round(true) <= allowed_growth);
 }
 
+// Guards against a process over its memory limit beside hundreds of clients that never finish
+// (issue 48).
+TEST_CASE("unfinished requests of as many clients as may connect fit the memory of the smallest "
+          "host") {
+    for (std::size_t piece_bytes : std::initializer_list<std::size_t>{1, 100, 48'000}) {
+        CAPTURE(piece_bytes);
+        TestGateway gateway("", settings_text(), most_sockets);
+        reset_heap_peak();
+        const std::string whole = write_request("t", std::string(64'000, 'w'));
+        const std::string part = whole.substr(0, 48'000);
+        for (int i = 0; i < client_count; ++i) {
+            auto client = gateway.core.client_connected(gateway.now);
+            if (!client)
+                continue;
+            for (std::size_t at = 0; at < part.size() && at / piece_bytes < 3000; at += piece_bytes)
+                gateway.core.received(gateway.now, *client, part.substr(at, piece_bytes));
+        }
+        CHECK(static_cast<double>(heap_peak_bytes()) <= memory_for_clients);
+    }
+}
+
+TEST_CASE("heads of many short fields of as many clients as may connect fit the memory of the "
+          "smallest host") {
+    TestGateway gateway("", settings_text(), most_sockets);
+    reset_heap_peak();
+    std::string head = "GET /read HTTP/1.1\r\n";
+    for (int field = 0; field < 64; ++field)
+        head += "f" + std::to_string(field) + ":v\r\n";
+    for (int i = 0; i < client_count; ++i)
+        if (auto client = gateway.core.client_connected(gateway.now))
+            gateway.core.received(gateway.now, *client, head);
+    CHECK(static_cast<double>(heap_peak_bytes()) <= memory_for_clients);
+}
+
+TEST_CASE("large requests that wait for their node fit the memory of the smallest host, and those "
+          "that were answered leave none in use") {
+    TestGateway gateway("", settings_text(), most_sockets);
+    std::vector<ConnectionId> clients;
+    const std::size_t before = heap_bytes();
+    reset_heap_peak();
+    for (int i = 0; i < client_count; ++i) {
+        auto client = gateway.core.client_connected(gateway.now);
+        REQUIRE(client);
+        clients.push_back(*client);
+        gateway.core.received(gateway.now, *client,
+                              write_request("t" + std::to_string(i), std::string(64'000, 'w')));
+        gateway.transport.sent.clear();
+    }
+    CHECK(static_cast<double>(heap_peak_bytes()) <= memory_for_clients);
+    gateway.settle(1600 * ms);
+    CHECK(gateway.core.request_count() == 0);
+    gateway.transport.sent.clear();
+    // What is left of a connection on which a request was answered.
+    constexpr std::size_t allowed_per_connection = 2500;
+    CHECK(heap_bytes() - before <= client_count * allowed_per_connection);
+}
+
+// Guards against memory that takes forty times what a client has sent (issue 48).
+TEST_CASE("bytes that arrive one by one behind a request take little more than their size") {
+    constexpr std::size_t byte_count = 70'000;
+    constexpr std::size_t allowed_bytes = 4 * byte_count;
+    TestGateway gateway;
+    auto client = gateway.connect_client(read_request("t1"));
+    const std::size_t before = heap_bytes();
+    for (std::size_t i = 0; i < byte_count; ++i)
+        gateway.core.received(gateway.now, client, "G");
+    CHECK(heap_bytes() - before <= allowed_bytes);
+}
+
 // Guards against responses that together exceed the host's memory (found beside issue 44).
 TEST_CASE("responses that all nodes send at once fit the memory of the smallest host") {
     constexpr int connection_count = 60;
