--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -236,3 +236,11 @@
           unittest -v tests.fleet_size.fleet_size_test
   WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 set_tests_properties(fleet_size PROPERTIES TIMEOUT 240 RUN_SERIAL ON FIXTURES_REQUIRED fleet_size_program)
+
+# The same program on the smallest host, beside clients that send too much, never finish, or leave.
+add_test(
+  NAME hostile_clients
+  COMMAND ${CMAKE_COMMAND} -E env KNOTVANE_EDGE=${CMAKE_BINARY_DIR}/fleet-size/knotvane-edge ${Python3_EXECUTABLE} -B -m
+          unittest -v tests.hostile_clients.hostile_clients_test
+  WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+set_tests_properties(hostile_clients PROPERTIES TIMEOUT 300 RUN_SERIAL ON FIXTURES_REQUIRED fleet_size_program)
--- a/src/http_gateway/client_connections.cpp
+++ b/src/http_gateway/client_connections.cpp
@@ -33,8 +33,8 @@
 // that the client's close is noticed.
 constexpr std::size_t max_pipelined_bytes = 72 << 10;
 
-// How many messages of one connection are handled before other connections have their turn.
-constexpr int max_messages_per_turn = 16;
+// How many messages of one connection are handled before those of other connections.
+constexpr int max_messages_per_iteration = 16;
 
 // While more bytes of responses than this wait for a client to read them, its next message isn't
 // handled.
@@ -205,7 +205,7 @@
             return;
         }
 
-        ++client.messages_in_turn;
+        ++client.messages_in_iteration;
         handle_message(now, received_at, id, client);
         auto it = clients_.find(id);
         if (it == clients_.end() || it->second.half_closed)
@@ -214,11 +214,11 @@
 }
 
 bool ClientConnections::may_handle_message(Client &client) const {
-    if (client.turn != turn_) {
-        client.turn = turn_;
-        client.messages_in_turn = 0;
+    if (client.iteration != iteration_) {
+        client.iteration = iteration_;
+        client.messages_in_iteration = 0;
     }
-    return client.messages_in_turn < max_messages_per_turn &&
+    return client.messages_in_iteration < max_messages_per_iteration &&
            client.unsent_bytes <= max_unsent_bytes;
 }
 
@@ -229,9 +229,9 @@
     Client &client = it->second;
     count_memory(client);
     bool waits = !client.request_in_flight && !client.pipelined.empty();
-    // Sending resumes at the next turn, or once the client has read enough.
+    // Sending resumes in the next iteration, or once the client has read enough.
     if (waits && client.unsent_bytes <= max_unsent_bytes)
-        waiting_for_turn_.insert(id);
+        waiting_for_iteration_.insert(id);
     set_reading_paused(id, client, waits);
 }
 
@@ -418,10 +418,10 @@
         input_processed(id);
 }
 
-void ClientConnections::begin_turn() {
-    ++turn_;
-    answered_with_pipelined_.merge(waiting_for_turn_);
-    waiting_for_turn_.clear();
+void ClientConnections::begin_iteration() {
+    ++iteration_;
+    answered_with_pipelined_.merge(waiting_for_iteration_);
+    waiting_for_iteration_.clear();
 }
 
 void ClientConnections::process_pipelined(Time now) {
--- a/src/http_gateway/client_connections.hpp
+++ b/src/http_gateway/client_connections.hpp
@@ -104,16 +104,16 @@
     /// Half-closes every connection without a request. Bytes that it receives later are discarded.
     void close_idle(Time now);
 
-    /// Begins a turn, in which only so many messages of each connection are handled: one that
+    /// Begins an iteration, in which only so many messages of each connection are handled: one that
     /// sends without a pause must not delay the others.
-    void begin_turn();
+    void begin_iteration();
     /// Parses the pipelined bytes of connections whose request has been answered in the meantime.
     /// Must not be called from within a call of the scheduler, as it passes new requests to it.
     void process_pipelined(Time now);
-    /// Whether process_pipelined has something to do in this turn.
+    /// Whether process_pipelined has something to do in this iteration.
     bool has_pipelined() const { return !answered_with_pipelined_.empty(); }
-    /// Whether it has something to do in the next turn.
-    bool waits_for_turn() const { return !waiting_for_turn_.empty(); }
+    /// Whether it has something to do in the next iteration.
+    bool waits_for_iteration() const { return !waiting_for_iteration_.empty(); }
 
     /// The number of connections that aren't half-closed.
     std::size_t open_count() const { return clients_.size() - half_closed_count_; }
@@ -158,7 +158,7 @@
         std::size_t discarded_bytes = 0;
         /// The body's size of the request in flight.
         std::size_t open_request_bytes = 0;
-        /// Bytes behind the request in flight, or those that wait for the next turn.
+        /// Bytes behind the request in flight, or those that wait for the next iteration.
         PipelinedInput pipelined;
         bool reading_paused = false;
         /// When bytes were received last.
@@ -167,9 +167,9 @@
         Time written_at = 0;
         /// Its part of memory_bytes_.
         std::size_t counted_memory = 0;
-        /// The turn in which a message was handled last, and how many were in it.
-        std::uint64_t turn = 0;
-        int messages_in_turn = 0;
+        /// The iteration in which a message was handled last, and how many were in it.
+        std::uint64_t iteration = 0;
+        int messages_in_iteration = 0;
     };
 
     /// Parses bytes and handles the messages that they complete, until a request is in flight.
@@ -183,7 +183,7 @@
     void refuse_for_memory(Time now, ConnectionId id);
     /// Refuses a request that isn't complete, and closes its connection.
     void refuse_unfinished(Time now, ConnectionId id);
-    /// Whether the client's next message may be handled in this turn.
+    /// Whether the client's next message may be handled in this iteration.
     bool may_handle_message(Client &client) const;
     /// Counts the memory that the client's input occupies, and pauses reading until what waits is
     /// handled.
@@ -237,9 +237,9 @@
     std::set<std::pair<Time, ConnectionId>> timeouts_;
     /// Connections whose request was answered and that have pipelined bytes to parse.
     std::set<ConnectionId> answered_with_pipelined_;
-    /// Connections that have pipelined bytes to parse in the next turn.
-    std::set<ConnectionId> waiting_for_turn_;
-    std::uint64_t turn_ = 0;
+    /// Connections that have pipelined bytes to parse in the next iteration.
+    std::set<ConnectionId> waiting_for_iteration_;
+    std::uint64_t iteration_ = 0;
     bool keep_idle_ = false;
     bool close_after_responses_ = false;
 };
--- a/src/http_gateway/core.cpp
+++ b/src/http_gateway/core.cpp
@@ -138,7 +138,7 @@
     now_ = now;
     if (transport_.tracing())
         trace_counts(now);
-    clients_.begin_turn();
+    clients_.begin_iteration();
     clients_.handle_timeouts(now);
     pool_.handle_timeouts(now);
     discovery_.handle_timeouts(now);
@@ -203,7 +203,7 @@
 }
 
 Time Core::next_due() const {
-    if (!completed_attempts_.empty() || clients_.has_pipelined() || clients_.waits_for_turn())
+    if (!completed_attempts_.empty() || clients_.has_pipelined() || clients_.waits_for_iteration())
         return now_;
     Time due = std::min(
         {clients_.next_due(), pool_.next_due(), discovery_.next_due(), shutdown_.next_due(now_)});
--- a/tests/http_gateway/client_limits_test.cpp
+++ b/tests/http_gateway/client_limits_test.cpp
@@ -58,7 +58,7 @@
         CHECK(count_of(gateway.transport.sent[flooder], " 200 ") < count / 10);
         CHECK(gateway.transport.paused_reading.contains(flooder));
         CHECK(gateway.core.next_due() == gateway.now);
-        for (int turn = 0; turn < count; ++turn)
+        for (int iteration = 0; iteration < count; ++iteration)
             gateway.settle();
         CHECK(count_of(gateway.transport.sent[flooder], " 200 ") == count);
         CHECK(!gateway.transport.paused_reading.contains(flooder));
@@ -72,12 +72,12 @@
         auto flooder = *gateway.core.client_connected(gateway.now);
         gateway.core.received(gateway.now, flooder, health_checks(count));
         // The transport reports nothing as written.
-        for (int turn = 0; turn < count; ++turn)
+        for (int iteration = 0; iteration < count; ++iteration)
             gateway.core.settle(gateway.now);
         CHECK(gateway.transport.sent[flooder].size() < allowed_bytes);
         CHECK(gateway.transport.paused_reading.contains(flooder));
         CHECK(gateway.core.next_due() > gateway.now);
-        for (int turn = 0; turn < count; ++turn)
+        for (int iteration = 0; iteration < count; ++iteration)
             gateway.settle();
         CHECK(count_of(gateway.transport.sent[flooder], " 200 ") == count);
         CHECK(!gateway.transport.paused_reading.contains(flooder));
@@ -87,7 +87,7 @@
         auto flooder = *gateway.core.client_connected(gateway.now);
         gateway.core.received(gateway.now, flooder, health_checks(100) + read_request("t1"));
         CHECK(gateway.transport.paused_reading.contains(flooder));
-        for (int turn = 0; turn < 10; ++turn)
+        for (int iteration = 0; iteration < 10; ++iteration)
             gateway.settle();
         CHECK(gateway.core.request_count() == 1);
         CHECK(!gateway.transport.paused_reading.contains(flooder));
@@ -100,8 +100,10 @@
     // Guards against a process over its memory limit beside clients that never finish (issue 48).
     TEST_CASE("unfinished requests that make no progress are refused; one that does is served") {
         SmallGateway gateway;
+        constexpr int stalled_count = 3;
         std::vector<ConnectionId> stalled;
-        for (int i = 0; i < 3; ++i)
+        stalled.reserve(stalled_count);
+        for (int i = 0; i < stalled_count; ++i)
             stalled.push_back(gateway.connect_stalled("s" + std::to_string(i), 30'000));
         gateway.settle(200 * ms);
         const std::string whole = write_request("t1", std::string(60'000, 'w'));
@@ -185,7 +187,7 @@
         TestGateway gateway;
         auto client = *gateway.core.client_connected(gateway.now);
         gateway.core.received(gateway.now, client, read_request("t1") + read_request("t2"));
-        gateway.transport.gone_peers.insert(client);
+        gateway.transport.closed_peers.insert(client);
         gateway.settle();
         CHECK(gateway.transport.connection_to("n1").value == 0);
         CHECK(gateway.core.request_count() == 0);
@@ -200,7 +202,7 @@
               "established") {
         TestGateway gateway;
         auto client = gateway.connect_client(read_request("t1"));
-        gateway.transport.gone_peers.insert(client);
+        gateway.transport.closed_peers.insert(client);
         auto node = gateway.connect_node();
         CHECK(gateway.transport.sent[node].empty());
         CHECK(gateway.transport.closed.contains(node));
--- a/tests/http_gateway/helpers.hpp
+++ b/tests/http_gateway/helpers.hpp
@@ -50,7 +50,7 @@
     /// Connections that the core doesn't read for the moment.
     std::set<ConnectionId> paused_reading;
     /// Connections whose peer has closed them, which is not yet reported to the core.
-    std::set<ConnectionId> gone_peers;
+    std::set<ConnectionId> closed_peers;
     std::vector<std::string> logged_events;
     bool traces = false;
     std::string traced_lines;
@@ -77,7 +77,7 @@
     void set_reading_paused(ConnectionId id, bool paused) override {
         paused ? (void)paused_reading.insert(id) : (void)paused_reading.erase(id);
     }
-    bool peer_closed(ConnectionId id) const override { return gone_peers.contains(id); }
+    bool peer_closed(ConnectionId id) const override { return closed_peers.contains(id); }
     void log_event(const std::string &text) override { logged_events.push_back(text); }
     void trace(const std::string &line) override { traced_lines += line + "\n"; }
     bool tracing() const override { return traces; }
--- a/tests/memory/bounded_state_test.cpp
+++ b/tests/memory/bounded_state_test.cpp
@@ -131,6 +131,7 @@
           "that were answered leave none in use") {
     TestGateway gateway("", settings_text(), most_sockets);
     std::vector<ConnectionId> clients;
+    clients.reserve(client_count);
     const std::size_t before = heap_bytes();
     reset_heap_peak();
     for (int i = 0; i < client_count; ++i) {
