--- a/review/support-2/kit.py
+++ b/review/support-2/kit.py
@@ -101,6 +101,8 @@
         case.note(f"NOT RUN: {type(error).__name__}: {error}")
     finally:
         signal.alarm(0)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
         case.end()
         case.note({BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "could not run"}[code])
     sys.exit(code)
