--- a/review/support-2/kit.py
+++ b/review/support-2/kit.py
@@ -45,11 +45,11 @@
         self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
         self.record.flush()
 
-    def start(self, name: str, command: list, env: dict | None = None) -> subprocess.Popen:
+    def start(self, name: str, command: list, env: dict | None = None, folder: str = "") -> subprocess.Popen:
         log = open(self.dir / f"{name}.log", "a", encoding="utf-8")
         process = subprocess.Popen(
             [str(part) for part in command],
-            cwd=ROOT,
+            cwd=folder or ROOT,
             env={**os.environ, **(env or {})},
             stdin=subprocess.DEVNULL,
             stdout=log,
@@ -218,7 +218,7 @@
     ends = time.monotonic() + seconds
     while True:
         try:
-            return Nbd(port, export)
+            return Nbd(port, export, seconds)
         except (OSError, Lost) as error:
             if time.monotonic() > ends:
                 raise NotRun(f"no export {export} within {seconds} s: {error}") from error
--- a/review/support-2/platform_.py
+++ b/review/support-2/platform_.py
@@ -91,14 +91,17 @@
     }
 
 
-def configuration(listen: str, discovery: str, known: dict) -> str:
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+
+
+def configuration(listen: str, discovery: str, known: dict, limits: dict) -> str:
     return json.dumps(
         {
             "name": "n0",
             "listen": listen,
             "discovery": discovery,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": limits,
             "known": known,
             "settings": settings(),
         }
@@ -219,7 +222,7 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def start_scheduler(case, disk_servers: list) -> tuple:
+def start_scheduler(case, disk_servers: list, limits: dict | None = None) -> tuple:
     """Starts the scheduler as `run` of the deploy file does; returns its process and port once it is ready."""
     from kit import free_port, wait_for
 
@@ -228,7 +231,7 @@
     port = free_port()
     config = case.dir / "config.json"
     known = {"generation": 1, "reset": True, "instances": instances}
-    config.write_text(configuration(f"{LOOPBACK}:{port}", discovery.address, known))
+    config.write_text(configuration(f"{LOOPBACK}:{port}", discovery.address, known, limits or LIMITS))
     process = case.start(
         "scheduler",
         ["/bin/sh", "-c", deploy_run()],
