--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,91 +1,123 @@
-"""A planned restart: SIGTERM reaches an edge that has taken requests. Each has to get its final answer."""
+"""Some answers never end: does the scheduler stay within the memory that the platform gives it?"""
 
-import signal
-import struct
+import socket
+import threading
 import time
+from pathlib import Path
 
-from kit import (
-    ERRORS,
-    LOOPBACK,
-    READ,
-    WRITE,
-    Lost,
-    NotRun,
-    connect,
-    edge_settings,
-    free_port,
-    node_list,
-    node_settings,
-    program,
-    run,
-)
-
-ROUNDS = 3
-EXTENT = 256 << 10
-READS = 12
-BLOCK = 16 << 10  # a unit
+from kit import LOOPBACK, NotRun, program, run
+from platform_ import DiskServer, read_message, request, start_scheduler
 
+MEMORY_MB = 32
+SERVERS = 10
+CLIENTS = 115
+PLAYED_S = 20
+SPOILT_IN = 10  # one answer in this many never ends
+WORK_S = 0.02
+PIECE = 900_000
 
-def play(case):
-    node_address = f"{LOOPBACK}:{free_port()}"
-    edge_port = free_port()
-    (case.dir / "node.ini").write_text(node_settings(case, 1, node_address, "16ms"))
-    (case.dir / "nodes.ini").write_text(node_list([node_address]))
-    (case.dir / "edge.ini").write_text(
-        edge_settings(edge_port, nodes=str(case.dir / "nodes.ini"), unit="16KiB", scans=True)
-    )
-    edge_command = [program("knotvane-edge"), "--config", case.dir / "edge.ini"]
-    case.start("node", [program("knotvane-node"), "--config", case.dir / "node.ini"])
-    edge = case.start("edge", edge_command)
-
-    breaches = []
-    taken = 0
-    for number in range(ROUNDS):
-        client = connect(edge_port, "members")
-        error, _data = client.read(0, BLOCK)
-        case.note(f"round {number}: a first read is answered: {ERRORS.get(error, error)}")
-        sent = {}
-        for index in range(READS):
-            sent[client.send(READ, index * BLOCK, BLOCK)] = f"read at {index * BLOCK}"
-        write = client.send(WRITE, EXTENT * (4 + number), data=b"1" * BLOCK)
-        sent[write] = "write"
-        case.note(f"client sends {len(sent)} requests: {READS} reads and a write, 16 KiB each")
-        time.sleep(0.02)
-        sigterm_at = time.monotonic()
-        if case.trouble:
-            case.send_signal("edge", edge, signal.SIGTERM)
-        lost = ""
-        while sent:
+
+class SpoiltDiskServer(DiskServer):
+    """Every tenth answer, by the requests' own numbers, never ends: 0.9 MB at once, then a byte every 0.1 s."""
+
+    def spoils(self, trace_id):
+        return self.case.trouble and int(trace_id.rpartition("n")[2]) % SPOILT_IN == 0
+
+    def _handle(self, client):
+        rest = b""
+        while True:
+            _first, headers, _body, rest = read_message(client, rest)
+            trace_id = headers.get("x-trace-id", "")
+            time.sleep(WORK_S)
+            if not self.spoils(trace_id):
+                answer = f"done {trace_id}".encode()
+                client.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+                continue
+            self.case.note(f"disk server answers {trace_id} without an end")
+            client.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            client.sendall(b"%x\r\n" % PIECE + bytes(PIECE) + b"\r\n")
+            while True:
+                time.sleep(0.1)
+                client.sendall(b"1\r\nx\r\n")
+
+
+class Client(threading.Thread):
+    """Reads on one connection, one request at a time: member-read and report-scan in turn."""
+
+    def __init__(self, number, port, ends):
+        super().__init__(daemon=True)
+        self.number, self.port, self.ends = number, port, ends
+        self.statuses = {}
+
+    def run(self):
+        connection = None
+        sent = self.number
+        while time.monotonic() < self.ends:
+            sent += 1
+            name, seconds = ("member-read", 1.0) if sent % 2 else ("report-scan", 3.0)
             try:
-                error, cookie, _data = receive(client, write, BLOCK)
-            except (Lost, OSError) as ended:
-                lost = str(ended)
-                break
-            taken += 1
-            case.note(f"answer to the {sent.pop(cookie)}: {ERRORS.get(error, error)}")
-        client.close()
-        if case.trouble:
-            code = edge.wait(timeout=10)
-            case.note(f"the edge ended {time.monotonic() - sigterm_at:.3f} s after SIGTERM with code {code}")
-        if sent:
-            case.note(f"the connection ended ({lost}); without an answer: {', '.join(sent.values())}")
-            if case.trouble and time.monotonic() - sigterm_at < 3.7:
-                breaches.append(
-                    f"round {number}: {len(sent)} requests that the edge had read got no answer: "
-                    "it ended at SIGTERM, before their client timeouts and before any SIGKILL"
+                if connection is None:
+                    connection = socket.create_connection((LOOPBACK, self.port), timeout=6)
+                connection.sendall(
+                    request(f"c{self.number}n{sent}", seconds, name=name, cell=(self.number + sent) % SERVERS)
                 )
-        if case.trouble:
-            edge = case.start("edge", edge_command)
-    if not taken and not breaches:
-        raise NotRun("no request was answered")
-    return breaches
-
-
-def receive(client, write_cookie, length):
-    """The next answer; those to reads without an error carry data."""
-    _magic, error, cookie = struct.unpack(">IIQ", client.take(16))
-    data = client.take(length) if not error and cookie != write_cookie else b""
-    return error, cookie, data
+                first, headers, _body, _rest = read_message(connection)
+                status = first.split()[1]
+                if headers.get("connection") == "close":
+                    connection = None
+            except OSError as ended:
+                status, connection = type(ended).__name__, None
+            self.statuses[status] = self.statuses.get(status, 0) + 1
+            time.sleep(0.62)
+
+
+def resident_kib(pid):
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
+
+
+def play(case):
+    program("knotvane-edge")
+    servers = [SpoiltDiskServer(case, WORK_S) for _ in range(SERVERS)]
+    process, port = start_scheduler(case, servers, {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024})
+    ends = time.monotonic() + PLAYED_S
+    clients = [Client(number, port, ends) for number in range(CLIENTS)]
+    for client in clients:
+        client.start()
+    peak = 0
+    over_since = None
+    over_s = 0.0
+    while time.monotonic() < ends and process.poll() is None:
+        kib = resident_kib(process.pid)
+        if kib > peak:
+            peak = kib
+            case.note(f"resident memory of the scheduler: {kib} KiB")
+        over = kib * 1024 > MEMORY_MB * 1_048_576
+        now = time.monotonic()
+        if over and over_since is not None:
+            over_s += now - over_since
+        over_since = now if over else None
+        time.sleep(0.05)
+    for client in clients:
+        client.join(6)
+    statuses = {}
+    for client in clients:
+        for status, count in client.statuses.items():
+            statuses[status] = statuses.get(status, 0) + count
+    case.note(f"answers by status: {statuses}")
+    case.note(f"peak: {peak} KiB of {MEMORY_MB * 1024}; over the limit for {over_s:.1f} s of {PLAYED_S}")
+    if process.poll() is not None:
+        return [f"the scheduler ended by itself, status {process.returncode}"]
+    if not statuses.get("200"):
+        raise NotRun("no request was served")
+    if not over_s:
+        return []
+    return [
+        f"the scheduler's memory passes limits.memory_mb, at which the platform kills it: {peak} KiB of "
+        f"{MEMORY_MB * 1024} KiB, for {over_s:.1f} s"
+    ]
 
 
 run(__file__, play)
