Review: a case at fault ends with 2, and leaves no process however it ends

Cause: an error in a case's own script ended with 1, as a broken rule does; SIGKILL to a case left its processes (10 seen).

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 test -f build/CMakeCache.txt || { echo "first run the build of deploy/balancer.toml" >&2; exit 1; }
 cmake --build build -j4 --target knotvane knotvane-node knotvane-planner
-python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))' || { echo "the cases need python3, 3.9 or later" >&2; exit 1; }
+python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' || { echo "the cases need python3, 3.11 or later" >&2; exit 1; }
--- a/review/support-2/kit.py
+++ b/review/support-2/kit.py
@@ -4,7 +4,6 @@
 """
 
 import os
-import shutil
 import signal
 import socket
 import struct
@@ -12,8 +11,11 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 
+from reaper import start_of
+
 ROOT = Path(__file__).resolve().parents[2]
 BUILD = ROOT / "build"
 LOOPBACK = "127.0.0.1"
@@ -39,6 +41,10 @@
         self.dir = Path(tempfile.mkdtemp(prefix="knotvane-review-"))
         self.record = open(Path(folder) / "record.txt", "w", encoding="utf-8")
         self.processes: list[subprocess.Popen] = []
+        reaper = Path(__file__).with_name("reaper.py")
+        self.reaper = subprocess.Popen(
+            [sys.executable, reaper, self.dir], stdin=subprocess.PIPE, text=True, start_new_session=True
+        )
         self.note(f"case {Path(folder).name}, TROUBLE={int(self.trouble)}")
 
     def note(self, text: str) -> None:
@@ -57,6 +63,8 @@
         )
         log.close()
         self.processes.append(process)
+        self.reaper.stdin.write(f"{process.pid} {start_of(process.pid)}\n")
+        self.reaper.stdin.flush()
         self.note(f"start {name}: {' '.join(str(part) for part in command)} (process {process.pid})")
         return process
 
@@ -78,7 +86,8 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
-        shutil.rmtree(self.dir, ignore_errors=True)
+        self.reaper.stdin.close()
+        self.reaper.wait()
 
 
 def run(file: str, play) -> None:
@@ -99,6 +108,8 @@
         code = BROKEN if breaches else HELD
     except (NotRun, OSError, Lost, struct.error) as error:
         case.note(f"NOT RUN: {type(error).__name__}: {error}")
+    except Exception:  # pylint: disable=broad-except
+        case.note(f"NOT RUN, the case itself is at fault: {traceback.format_exc()}")
     finally:
         signal.alarm(0)
         for number in (signal.SIGTERM, signal.SIGINT):
