Platform's front: bound the memory of all incomplete responses together

Cause: ConnectionPool bounded each response (1 MiB) and nothing bounded all of them. A response is kept until its client's deadline, since each byte puts off the timeout between two pieces.

Change: incomplete responses may take an eighth of limits.memory_mb. Past it the one that costs most, memory times the time since its first byte, is given up, of those over an even share. Its attempt ends as an error.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -129,6 +129,7 @@
     tests/http_gateway/graceful_shutdown_test.cpp
     tests/http_gateway/json_stream_test.cpp
     tests/http_gateway/loopback_test.cpp
+    tests/http_gateway/response_limits_test.cpp
     tests/http_gateway/trace_test.cpp
   LIBS knotvane_http_gateway_server)
 # Counts all heap memory of its binary.
@@ -244,3 +245,11 @@
           unittest -v tests.hostile_clients.hostile_clients_test
   WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 set_tests_properties(hostile_clients PROPERTIES TIMEOUT 300 RUN_SERIAL ON FIXTURES_REQUIRED fleet_size_program)
+
+# The same program and host, beside nodes whose responses never end, or are large and come at once.
+add_test(
+  NAME hostile_nodes
+  COMMAND ${CMAKE_COMMAND} -E env KNOTVANE_EDGE=${CMAKE_BINARY_DIR}/fleet-size/knotvane-edge ${Python3_EXECUTABLE} -B -m
+          unittest -v tests.hostile_nodes.hostile_nodes_test
+  WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+set_tests_properties(hostile_nodes PROPERTIES TIMEOUT 240 RUN_SERIAL ON FIXTURES_REQUIRED fleet_size_program)
--- a/src/http_gateway/connection_pool.cpp
+++ b/src/http_gateway/connection_pool.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <optional>
 
 #include "http_gateway/trace_line.hpp"
 
@@ -10,8 +9,7 @@
 namespace {
 
 // The head of a node's response is a few hundred bytes. Valid bodies of up to 400 KB were seen,
-// although the protocol's limit is 64 KiB. The limit of 1 MiB still keeps all responses that are
-// received at the same time within the memory of the smallest host.
+// although the protocol's limit is 64 KiB. What all responses use together has a limit of its own.
 constexpr std::size_t max_head_bytes = 8 << 10;
 constexpr std::size_t max_body_bytes = 1 << 20;
 
@@ -58,7 +56,8 @@
     : transport_(transport), events_(events), connection_ids_(connection_ids),
       connect_timeout_(options.connect_timeout),
       idle_timeout_(idle_timeout_before(options.node_idle_timeout)),
-      max_connections_(std::max<std::size_t>(options.max_connections, 1)) {}
+      max_connections_(std::max<std::size_t>(options.max_connections, 1)),
+      max_response_memory_(options.max_response_memory) {}
 
 void ConnectionPool::set_address(Time now, NodeId node, const std::string &address) {
     if (nodes_[node].address == address)
@@ -222,10 +221,23 @@
                          .text());
 }
 
+void ConnectionPool::trace_error(ConnectionId id, const char *fault) {
+    if (!transport_.tracing())
+        return;
+    const http::Decoder &response = connections_.at(id).decoder;
+    transport_.trace(TraceLine("error")
+                         .field("conn", id.value)
+                         .field("status", response.status())
+                         .field("length", response.header("Content-Length").value_or("-"))
+                         .field("fault", fault)
+                         .text());
+}
+
 void ConnectionPool::remove_connection(ConnectionId id) {
     auto it = connections_.find(id);
     const Connection &connection = it->second;
     deadlines_.erase({connection.deadline, id});
+    incomplete_bytes_ -= connection.counted_memory;
     if (auto node = nodes_.find(connection.node); node != nodes_.end()) {
         std::erase(node->second.idle, id);
         --node->second.connection_count;
@@ -250,6 +262,7 @@
     connection.busy = false;
     connection.request_submitted = false;
     connection.decoder.start_next();
+    count_memory(connection, 0);
     connection.idle_since = now;
     set_deadline(id, connection, now + idle_timeout_);
     nodes_.at(connection.node).idle.push_back(id);
@@ -335,6 +348,46 @@
     if (state == http::MessageState::complete || state == http::MessageState::invalid)
         return handle_response_end(now, id, !bytes.empty());
     set_deadline(id, connection, std::min(attempt.timeout_at, now + connect_timeout_));
+    count_memory(connection, connection.decoder.memory_bytes());
+    limit_response_memory(now);
+}
+
+void ConnectionPool::count_memory(Connection &connection, std::size_t bytes) {
+    incomplete_bytes_ += bytes - connection.counted_memory;
+    connection.counted_memory = bytes;
+}
+
+void ConnectionPool::limit_response_memory(Time now) {
+    while (incomplete_bytes_ > max_response_memory_) {
+        auto costliest = costliest_response(now);
+        if (!costliest)
+            return;
+        auto key = connections_.at(*costliest).attempt;
+        ++responses_ended_for_memory_;
+        trace_error(*costliest, "no memory for the response");
+        close(*costliest);
+        complete_attempt(now, key, AttemptOutcome::error);
+    }
+}
+
+std::optional<ConnectionId> ConnectionPool::costliest_response(Time now) const {
+    const std::size_t even_share = max_response_memory_ / max_connections_;
+    std::optional<ConnectionId> costliest;
+    double highest_cost = 0;
+    for (const auto &[id, connection] : connections_) {
+        if (!connection.busy || connection.counted_memory <= even_share)
+            continue;
+        // Memory times the time for which it has been held: a response that never ends costs more
+        // than a valid one of the same size. One that has just begun has a cost, too, so that there
+        // is always one to choose.
+        Time held_for = now - attempts_.at(connection.attempt).first_byte_at + ms;
+        double cost = static_cast<double>(connection.counted_memory) * seconds(held_for);
+        if (cost > highest_cost) {
+            costliest = id;
+            highest_cost = cost;
+        }
+    }
+    return costliest;
 }
 
 void ConnectionPool::handle_response_end(Time now, ConnectionId id, bool has_trailing_bytes) {
@@ -343,13 +396,8 @@
     auto key = connection.attempt;
     AttemptOutcome outcome = outcome_of(response);
     std::string body = outcome == AttemptOutcome::answered ? response.take_body() : std::string();
-    if (outcome == AttemptOutcome::error && transport_.tracing())
-        transport_.trace(TraceLine("error")
-                             .field("conn", id.value)
-                             .field("status", response.status())
-                             .field("length", response.header("Content-Length").value_or("-"))
-                             .field("fault", *response.error() ? response.error() : "-")
-                             .text());
+    if (outcome == AttemptOutcome::error)
+        trace_error(id, *response.error() ? response.error() : "-");
 
     bool reusable = response.state() == http::MessageState::complete && !has_trailing_bytes &&
                     response.keep_alive() && !connection.close_after_attempt &&
--- a/src/http_gateway/connection_pool.hpp
+++ b/src/http_gateway/connection_pool.hpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -65,11 +66,13 @@
     Time node_idle_timeout = 0;
     /// Limit on the open connections to all nodes together; at least 1.
     std::size_t max_connections = 1;
+    /// Limit on the memory of all responses that are incomplete, in bytes.
+    std::size_t max_response_memory = std::numeric_limits<std::size_t>::max();
 };
 
 /// Connections to nodes, each with at most one request in flight. An attempt uses the node's most
 /// recently used idle connection or opens a new one. The outcome of each attempt reports the
-/// network event that ended it.
+/// network event that ended it. Limits the memory that the responses of all nodes use together.
 class ConnectionPool {
 public:
     /// Stands for "no timeout": longer than any wait in the gateway.
@@ -115,6 +118,11 @@
     /// Closes connections and completes attempts that have timed out.
     void handle_timeouts(Time now);
 
+    /// The memory of incomplete responses, in bytes.
+    std::size_t response_memory_bytes() const { return incomplete_bytes_; }
+    /// How many incomplete responses were given up because the memory was used up, since the start.
+    std::uint64_t responses_ended_for_memory() const { return responses_ended_for_memory_; }
+
     std::size_t connection_count() const { return connections_.size(); }
     std::size_t attempts_in_flight() const { return attempts_.size(); }
     /// Returns the number of connections with an attempt in flight, by node.
@@ -143,6 +151,8 @@
         /// When the connection times out: the key of its entry in deadlines_.
         Time deadline = 0;
         Time idle_since = 0;
+        /// Its part of incomplete_bytes_.
+        std::size_t counted_memory = 0;
         http::Decoder decoder;
     };
 
@@ -177,6 +187,14 @@
     /// @param has_trailing_bytes whether bytes followed the response.
     void handle_response_end(Time now, ConnectionId id, bool has_trailing_bytes);
     void make_idle(Time now, ConnectionId id, Connection &connection);
+    /// Updates the connection's part of the memory of incomplete responses.
+    void count_memory(Connection &connection, std::size_t bytes);
+    /// Gives up incomplete responses until their memory is within its limit. Their attempts
+    /// complete as errors: their requests were sent, so the nodes may have executed them.
+    void limit_response_memory(Time now);
+    /// Returns the connection whose incomplete response is to be given up first, if any uses more
+    /// than each could if all connections were open.
+    std::optional<ConnectionId> costliest_response(Time now) const;
     void complete_attempt(Time now, const AttemptKey &key, AttemptOutcome outcome,
                           std::string body = {});
     /// Closes the attempt's connection before the last byte of its request is written, and
@@ -189,6 +207,8 @@
     void set_deadline(ConnectionId id, Connection &connection, Time deadline);
     void trace_attempt(Time now, const AttemptKey &key, const Attempt &attempt,
                        AttemptOutcome outcome);
+    /// Writes to the trace why a connection's response was not accepted.
+    void trace_error(ConnectionId id, const char *fault);
 
     Transport &transport_;
     UpstreamAttemptEvents &events_;
@@ -196,6 +216,10 @@
     Time connect_timeout_;
     Time idle_timeout_;
     std::size_t max_connections_;
+    std::size_t max_response_memory_;
+    /// The memory of incomplete responses.
+    std::size_t incomplete_bytes_ = 0;
+    std::uint64_t responses_ended_for_memory_ = 0;
     std::map<ConnectionId, Connection> connections_;
     std::map<NodeId, Node> nodes_;
     std::map<AttemptKey, Attempt> attempts_;
--- a/src/http_gateway/core.cpp
+++ b/src/http_gateway/core.cpp
@@ -20,10 +20,11 @@
 // their number isn't bounded, while the scheduler's window keeps the number of attempts low.
 constexpr std::size_t node_socket_divisor = 3;
 
-// What clients have sent and not yet read may use one part in this many of the memory. The rest is
-// for the program itself, the endpoint list and what nodes respond, and for what the allocator
-// can't use again at once.
+// What clients have sent and not yet read may use one part in this many of the memory, and so may
+// incomplete responses of nodes. The rest is for the program itself, the endpoint list and
+// responses on their way to the clients, and for what the allocator can't use again at once.
 constexpr std::size_t client_memory_divisor = 8;
+constexpr std::size_t response_memory_divisor = 8;
 
 std::size_t max_node_connections(std::size_t max_sockets) {
     return (max_sockets - reserved_sockets / 2) / node_socket_divisor;
@@ -49,6 +50,7 @@
     options.connect_timeout = optional_timeout(config.settings, "Permissions.ConnectTimeoutS");
     options.node_idle_timeout = optional_timeout(config.settings, "Permissions.ConnIdleS");
     options.max_connections = max_node_connections(config.max_sockets);
+    options.max_response_memory = config.max_memory / response_memory_divisor;
     return options;
 }
 
--- a/tests/fleet_size/stand_ins.py
+++ b/tests/fleet_size/stand_ins.py
@@ -36,6 +36,11 @@
     return None
 
 
+def answer_to(trace_id: str) -> bytes:
+    """Returns the body of a disk server's answer."""
+    return b"answer to " + trace_id.encode()
+
+
 class StandIn:
     """Accepts connections on loopback; a connection that breaks ends its handler alone."""
 
@@ -118,7 +123,7 @@
         while True:
             head, _ = await read_message(reader)
             await asyncio.sleep(SERVICE_S)
-            answer = b"answer to " + header(head, "X-Trace-Id").encode()
+            answer = answer_to(header(head, "X-Trace-Id"))
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(answer), answer))
             await writer.drain()
 
@@ -155,6 +160,10 @@
         self._ends = False
         self._tasks: list[asyncio.Task] = []
 
+    def expected_answer(self, trace_id: str) -> bytes:
+        """Returns the body that the request's disk server sends."""
+        return answer_to(trace_id)
+
     def start(self, connections: int, requests_per_second: float) -> None:
         pause = connections / requests_per_second
         self._tasks = [asyncio.create_task(self._run(pause)) for _ in range(connections)]
@@ -189,7 +198,7 @@
             self.answers.lost.append(f"{trace_id}: {type(error).__name__}")
             return False
         status = head.split()[1]
-        if status == "200" and body != b"answer to " + trace_id.encode():
+        if status == "200" and body != self.expected_answer(trace_id):
             self.answers.lost.append(f"{trace_id}: another request's answer")
         elif status == "200":
             self.answers.served += 1
