Platform's front: stop reading from nodes while too many bodies wait

Change: past a quarter of the room for incomplete responses nodes aren't read until the bodies have been passed to their clients, in the same iteration.

Test: response_limits_test "reading is paused while too many bodies wait" fails without it.

--- a/src/http_gateway/connection_pool.cpp
+++ b/src/http_gateway/connection_pool.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t max_head_bytes = 8 << 10;
 constexpr std::size_t max_body_bytes = 1 << 20;
 
+// Bodies that aren't delivered yet may use one part in this many of the limit on incomplete
+// responses before reading from the nodes is paused.
+constexpr std::size_t undelivered_divisor = 4;
+
 // A connection is not reused for this long after a response: a node may send a second response to
 // the same request, seen 0.8 to 3.9 ms after the first, and it would be taken for the response to
 // the next request.
@@ -390,13 +394,34 @@
     return costliest;
 }
 
+void ConnectionPool::add_undelivered(const std::string &body) {
+    undelivered_bytes_ += body.capacity();
+    if (undelivered_bytes_ > max_response_memory_ / undelivered_divisor)
+        set_reading_paused(true);
+}
+
+void ConnectionPool::bodies_delivered() {
+    undelivered_bytes_ = 0;
+    set_reading_paused(false);
+}
+
+void ConnectionPool::set_reading_paused(bool paused) {
+    if (reading_paused_ == paused)
+        return;
+    reading_paused_ = paused;
+    for (const auto &[id, connection] : connections_)
+        transport_.set_reading_paused(id, paused);
+}
+
 void ConnectionPool::handle_response_end(Time now, ConnectionId id, bool has_trailing_bytes) {
     Connection &connection = connections_.at(id);
     http::Decoder &response = connection.decoder;
     auto key = connection.attempt;
     AttemptOutcome outcome = outcome_of(response);
     std::string body = outcome == AttemptOutcome::answered ? response.take_body() : std::string();
-    if (outcome == AttemptOutcome::error)
+    if (outcome == AttemptOutcome::answered)
+        add_undelivered(body);
+    else if (outcome == AttemptOutcome::error)
         trace_error(id, *response.error() ? response.error() : "-");
 
     bool reusable = response.state() == http::MessageState::complete && !has_trailing_bytes &&
--- a/src/http_gateway/connection_pool.hpp
+++ b/src/http_gateway/connection_pool.hpp
@@ -118,8 +118,12 @@
     /// Closes connections and completes attempts that have timed out.
     void handle_timeouts(Time now);
 
-    /// The memory of incomplete responses, in bytes.
-    std::size_t response_memory_bytes() const { return incomplete_bytes_; }
+    /// The owner has passed on the bodies of all completed attempts. Resumes reading from the nodes
+    /// if it was paused because of them.
+    void bodies_delivered();
+
+    /// The memory of incomplete responses and of bodies that aren't delivered yet, in bytes.
+    std::size_t response_memory_bytes() const { return incomplete_bytes_ + undelivered_bytes_; }
     /// How many incomplete responses were given up because the memory was used up, since the start.
     std::uint64_t responses_ended_for_memory() const { return responses_ended_for_memory_; }
 
@@ -195,6 +199,9 @@
     /// Returns the connection whose incomplete response is to be given up first, if any uses more
     /// than each could if all connections were open.
     std::optional<ConnectionId> costliest_response(Time now) const;
+    /// Counts a body that is passed to the owner, and pauses reading if too many wait there.
+    void add_undelivered(const std::string &body);
+    void set_reading_paused(bool paused);
     void complete_attempt(Time now, const AttemptKey &key, AttemptOutcome outcome,
                           std::string body = {});
     /// Closes the attempt's connection before the last byte of its request is written, and
@@ -219,6 +226,9 @@
     std::size_t max_response_memory_;
     /// The memory of incomplete responses.
     std::size_t incomplete_bytes_ = 0;
+    /// The memory of bodies that the owner has got since bodies_delivered was called last.
+    std::size_t undelivered_bytes_ = 0;
+    bool reading_paused_ = false;
     std::uint64_t responses_ended_for_memory_ = 0;
     std::map<ConnectionId, Connection> connections_;
     std::map<NodeId, Node> nodes_;
--- a/src/http_gateway/core.cpp
+++ b/src/http_gateway/core.cpp
@@ -162,6 +162,8 @@
         if (completed_attempts_.empty() && !clients_.has_pipelined())
             break;
     }
+    if (completed_attempts_.empty())
+        pool_.bodies_delivered();
     shut_down(now);
     if (transport_.tracing())
         settle_due_at_ = next_due();
--- a/tests/http_gateway/response_limits_test.cpp
+++ b/tests/http_gateway/response_limits_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 #include "helpers.hpp"
 
@@ -128,3 +129,30 @@
         CHECK(gateway.core.pool().response_memory_bytes() == 0);
     }
 }
+
+TEST_SUITE("responses that arrive at once") {
+    // Guards against a scheduler that is ended for its memory when it was held up (issue 55):
+    // bodies of complete responses waited together for the end of the iteration, without a limit.
+    TEST_CASE("reading is paused while too many bodies wait for their clients, and then goes on") {
+        GatewayOfManyNodes gateway;
+        constexpr int read_count = 4;
+        std::vector<ConnectionId> nodes;
+        nodes.reserve(read_count);
+        for (int shard = 0; shard < read_count; ++shard)
+            nodes.push_back(gateway.read_and_connect(shard));
+        const std::string response = http_response(200, std::string(20'000, 'b'));
+        gateway.core.received(gateway.now, nodes[0], response);
+        CHECK(gateway.transport.paused_reading.empty());
+        gateway.core.received(gateway.now, nodes[1], response);
+        CHECK(gateway.transport.paused_reading.contains(nodes[2]));
+        CHECK(gateway.transport.paused_reading.contains(nodes[3]));
+        gateway.settle();
+        CHECK(gateway.transport.paused_reading.empty());
+        CHECK(gateway.core.pool().response_memory_bytes() == 0);
+        gateway.core.received(gateway.now, nodes[2], response);
+        gateway.core.received(gateway.now, nodes[3], response);
+        gateway.settle();
+        CHECK(gateway.transport.paused_reading.empty());
+        CHECK(gateway.core.request_counts().answered == read_count);
+    }
+}
