Platform's front: account for bytes that arrive together with a request

Callers saw: 640 clients that each send 55 KB behind a request in one write take a scheduler to 44.9 MB of 32, at which the platform kills it (tests/hostile_clients, kind behind-a-request, release build, one run).

Cause: put_back, for what is left of a read after a request or after 16 messages, looked at the connection alone. keep_pipelined, for bytes that arrive later, looks at the memory of all clients, too.

Change: after a read, a client over its even share loses the bytes behind if the memory for clients is used up. An open request is answered and the answer closes the connection; without one the client gets 503. `status` counts it as pipelined_discarded.

Without the change tests/memory fails with 37.8 MB (behind a request) and 163.9 MB (health checks that wait) of 10.7 allowed, and two cases of client_limits_test fail.

--- a/src/http_gateway/client_connections.cpp
+++ b/src/http_gateway/client_connections.cpp
@@ -175,10 +175,12 @@
     }
     if (client.ignores_input)
         return;
-    if (client.request_in_flight || !client.pipelined.empty())
+    if (client.request_in_flight || !client.pipelined.empty()) {
         keep_pipelined(client, now, bytes);
-    else
+    } else {
         process_bytes(now, now, id, bytes);
+        limit_pipelined(now, id);
+    }
     input_processed(id);
     limit_memory(now);
 }
@@ -242,25 +244,41 @@
     transport_.set_reading_paused(id, paused);
 }
 
-void ClientConnections::keep_pipelined(Client &client, Time received_at,
-                                       std::string_view bytes) const {
+void ClientConnections::keep_pipelined(Client &client, Time received_at, std::string_view bytes) {
     if (client.pipelined.size() + bytes.size() > max_pipelined_bytes ||
-        memory_bytes_ + bytes.size() > limits_.max_memory_bytes) {
-        client.ignores_input = true;
-        return;
-    }
+        memory_bytes_ + bytes.size() > limits_.max_memory_bytes)
+        return ignore_input(client);
     client.pipelined.append(received_at, bytes);
 }
 
 void ClientConnections::put_back(Client &client, Time received_at, std::string_view bytes) {
     // While no request is in flight all bytes are kept and no more are read.
-    if (client.request_in_flight) {
-        client.ignores_input |= bytes.size() > max_pipelined_bytes;
+    if (client.request_in_flight && bytes.size() > max_pipelined_bytes) {
+        ignore_input(client);
         bytes = bytes.substr(0, max_pipelined_bytes);
     }
     client.pipelined.prepend(received_at, bytes);
 }
 
+void ClientConnections::ignore_input(Client &client) {
+    counts_.pipelined_discarded += client.ignores_input ? 0 : 1;
+    client.ignores_input = true;
+}
+
+void ClientConnections::limit_pipelined(Time now, ConnectionId id) {
+    auto it = clients_.find(id);
+    if (it == clients_.end() || it->second.half_closed || it->second.pipelined.empty())
+        return;
+    Client &client = it->second;
+    count_memory(client);
+    if (memory_bytes_ <= limits_.max_memory_bytes || within_even_share(client))
+        return;
+    client.pipelined.clear();
+    ignore_input(client);
+    if (!client.request_in_flight)
+        refuse_unfinished(now, id);
+}
+
 void ClientConnections::count_memory(Client &client) {
     std::size_t bytes = client.decoder.memory_bytes() + client.pipelined.size() +
                         client.unsent_bytes + client.open_request_bytes;
--- a/src/http_gateway/client_connections.hpp
+++ b/src/http_gateway/client_connections.hpp
@@ -63,6 +63,8 @@
     std::uint64_t refused_for_memory = 0;
     /// Connections closed because the memory was used up and their client didn't read.
     std::uint64_t closed_for_memory = 0;
+    /// Connections whose pipelined bytes were discarded: too many of them, or no memory.
+    std::uint64_t pipelined_discarded = 0;
 };
 
 /// The connections that clients have opened. Reads requests, one at a time on each connection, and
@@ -190,9 +192,15 @@
     void input_processed(ConnectionId id);
     void set_reading_paused(ConnectionId id, Client &client, bool paused);
     /// Keeps bytes that arrive while others wait, up to the limits.
-    void keep_pipelined(Client &client, Time received_at, std::string_view bytes) const;
+    void keep_pipelined(Client &client, Time received_at, std::string_view bytes);
     /// Puts bytes that aren't parsed yet back in front of the pipelined ones.
-    static void put_back(Client &client, Time received_at, std::string_view bytes);
+    void put_back(Client &client, Time received_at, std::string_view bytes);
+    /// Discards what a client has sent from now on, once it has its response.
+    void ignore_input(Client &client);
+    /// Discards the pipelined bytes that were just received with a request or with other messages,
+    /// if there is no memory for them. The client is told: by its response, which closes the
+    /// connection, or by a 503 if no request is in flight.
+    void limit_pipelined(Time now, ConnectionId id);
 
     /// Updates the client's part of the memory in use.
     void count_memory(Client &client);
--- a/src/http_gateway/server.cpp
+++ b/src/http_gateway/server.cpp
@@ -168,7 +168,8 @@
          {"invalid", std::to_string(clients.invalid)},
          {"evicted", std::to_string(clients.evicted)},
          {"refused_for_memory", std::to_string(clients.refused_for_memory)},
-         {"closed_for_memory", std::to_string(clients.closed_for_memory)}});
+         {"closed_for_memory", std::to_string(clients.closed_for_memory)},
+         {"pipelined_discarded", std::to_string(clients.pipelined_discarded)}});
 }
 
 Time Server::end_moment() {
--- a/tests/hostile_clients/traffic.py
+++ b/tests/hostile_clients/traffic.py
@@ -15,6 +15,8 @@
 
 LARGEST_BODY = 64 * 1024
 UNFINISHED_BODY = LARGEST_BODY * 3 // 4
+# Most of what is kept behind an open request.
+BEHIND_BODY = 55 * 1024
 SHORT_FIELDS = 60
 CHECK = b"GET /healthz HTTP/1.1\r\n\r\n"
 CONNECT_TIMEOUT_S = 2.0
@@ -150,6 +152,12 @@
         yield bytes([byte])
 
 
+def _large_request_behind_a_request(number: int) -> Iterator[bytes]:
+    """A request and a large one behind it, in one write."""
+    first = request(f"first-{number}-{time.monotonic_ns()}", number)
+    yield first + request(f"behind-{number}-{time.monotonic_ns()}", number, WRITE, b"w" * BEHIND_BODY)
+
+
 async def _hold(
     address: str, end: float, number: int, pieces: Callable[[int], Iterator[bytes]], pause: float
 ) -> None:
@@ -197,6 +205,7 @@
     "unfinished-bodies": (_unfinished_body, 0.03),
     "short-fields": (_short_fields, 0.01),
     "slow-bytes": (_slow_bytes_behind_a_request, 0.0),
+    "behind-a-request": (_large_request_behind_a_request, 0.0),
 }
 
 KINDS = (*FLOODS, *HOLDS)
--- a/tests/http_gateway/client_limits_test.cpp
+++ b/tests/http_gateway/client_limits_test.cpp
@@ -160,6 +160,40 @@
             CHECK(gateway.transport.closed.contains(client) == needed);
         }
     }
+    // Guards against bytes that are kept without an account, as they came together with a request
+    // (issue 56).
+    TEST_CASE("what arrives behind a request in the same read is discarded if memory is used up, "
+              "and the request is answered") {
+        const std::string behind = write_request("b", std::string(50'000, 'w'));
+        SmallGateway gateway;
+        auto kept = gateway.connect_client(read_request("t0") + behind);
+        auto discarded = gateway.connect_client(read_request("t1") + behind + behind);
+        auto usual = gateway.connect_client(read_request("t2") + read_request("t3"));
+        CHECK(gateway.core.clients().memory_bytes() <= 125'000);
+        CHECK(gateway.core.clients().counts().pipelined_discarded == 1);
+        CHECK(gateway.core.request_count() == 3);
+        gateway.connect_node();
+        for (int response = 0; response < 3; ++response)
+            gateway.respond_to_attempt("done");
+        gateway.settle(2 * sec);
+        CHECK(contains(gateway.transport.sent[discarded], "Connection: close"));
+        CHECK(gateway.transport.closed.contains(discarded));
+        CHECK(count_of(gateway.transport.sent[kept], "HTTP/1.1 ") == 2);
+        CHECK(count_of(gateway.transport.sent[usual], "HTTP/1.1 ") == 2);
+        CHECK(count_of(gateway.transport.sent[discarded], "HTTP/1.1 ") == 1);
+    }
+    TEST_CASE("messages that wait for their turn are refused if memory is used up") {
+        SmallGateway gateway;
+        auto kept = *gateway.core.client_connected(gateway.now);
+        auto refused = *gateway.core.client_connected(gateway.now);
+        gateway.core.received(gateway.now, kept, health_checks(4000));
+        gateway.core.received(gateway.now, refused, health_checks(4000));
+        CHECK(gateway.core.clients().memory_bytes() <= 125'000);
+        CHECK(count_of(gateway.transport.sent[refused], "HTTP/1.1 200 ") == 16);
+        CHECK(count_of(gateway.transport.sent[refused], "HTTP/1.1 503 ") == 1);
+        CHECK(gateway.transport.half_closed.contains(refused));
+        CHECK(!gateway.transport.closed.contains(kept));
+    }
     TEST_CASE("bytes that arrive one by one behind a request take little more than their size") {
         PipelinedInput input;
         constexpr int count = 10'000;
--- a/tests/memory/bounded_state_test.cpp
+++ b/tests/memory/bounded_state_test.cpp
@@ -151,6 +151,45 @@
     CHECK(heap_bytes() - before <= client_count * allowed_per_connection);
 }
 
+// Guards against a process over its memory limit beside hundreds of clients that send much behind a
+// request in the same write (issue 56): what came in one read was kept without an account.
+TEST_CASE("bytes that arrive together with a first request, of as many clients as may connect, fit "
+          "the memory of the smallest host") {
+    for (bool later : {false, true}) {
+        CAPTURE(later);
+        TestGateway gateway("", settings_text(), most_sockets);
+        reset_heap_peak();
+        const std::string behind = write_request("b", std::string(55'000, 'w'));
+        for (int i = 0; i < client_count; ++i) {
+            auto client = gateway.core.client_connected(gateway.now);
+            REQUIRE(client);
+            const std::string first = read_request("t" + std::to_string(i));
+            gateway.core.received(gateway.now, *client, later ? first : first + behind);
+            if (later)
+                gateway.core.received(gateway.now, *client, behind);
+        }
+        CHECK(static_cast<double>(heap_peak_bytes()) <= memory_for_clients);
+    }
+}
+
+TEST_CASE("messages that wait for their turn, of as many clients as may connect, fit the memory of "
+          "the smallest host") {
+    TestGateway gateway("", settings_text(), most_sockets);
+    std::string health_checks;
+    constexpr std::size_t read_bytes = 250'000;
+    while (health_checks.size() < read_bytes)
+        health_checks += "GET /healthz HTTP/1.1\r\n\r\n";
+    reset_heap_peak();
+    for (int i = 0; i < client_count; ++i) {
+        auto client = gateway.core.client_connected(gateway.now);
+        REQUIRE(client);
+        gateway.core.received(gateway.now, *client, health_checks);
+        // What the transport records is not the gateway's memory.
+        gateway.transport.sent.clear();
+    }
+    CHECK(static_cast<double>(heap_peak_bytes()) <= memory_for_clients);
+}
+
 // Guards against memory that takes forty times what a client has sent (issue 48).
 TEST_CASE("bytes that arrive one by one behind a request take little more than their size") {
     constexpr std::size_t byte_count = 70'000;
